--- /dev/null
+++ b/baobabcall/call.go
@@ -0,0 +1,84 @@
+package baobabcall
+
+import (
+	"net/http"
+	"time"
+)
+
+// A Call is one request of a caller, read whole, with its limits.
+type Call struct {
+	id             string
+	caller         string
+	method         string
+	host           string
+	target         string // Path and query.
+	header         http.Header
+	body           []byte
+	deadline       time.Time // Local clock; zero means that the route's timeout decides.
+	rank           string    // Empty means the route's rank.
+	idempotencyKey string
+	retried        bool
+}
+
+// Option sets an optional property of a Call.
+type Option func(*Call)
+
+// WithBody sets the request body. The call takes ownership of it.
+func WithBody(b []byte) Option { return func(c *Call) { c.body = b } }
+
+// WithDeadline sets the time after which the caller no longer waits.
+func WithDeadline(t time.Time) Option { return func(c *Call) { c.deadline = t } }
+
+// WithHeader sets the request header.
+func WithHeader(h http.Header) Option { return func(c *Call) { c.header = h } }
+
+// WithIdempotencyKey sets the key under which the caller may send the request again.
+func WithIdempotencyKey(key string) Option { return func(c *Call) { c.idempotencyKey = key } }
+
+// WithRank sets the rank that the caller asks for.
+func WithRank(rank string) Option { return func(c *Call) { c.rank = rank } }
+
+// WithRetried marks a call that an earlier hop retries itself, so that it is not retried again here.
+func WithRetried() Option { return func(c *Call) { c.retried = true } }
+
+// NewCall returns a call. The id is unique per call and target is the path with its query.
+func NewCall(id, caller, method, host, target string, options ...Option) *Call {
+	c := &Call{id: id, caller: caller, method: method, host: host, target: target, header: http.Header{}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// ID returns the unique id of the call.
+func (c *Call) ID() string { return c.id }
+
+// Caller returns the identity of the caller, by which shares and keys are kept apart.
+func (c *Call) Caller() string { return c.caller }
+
+// Method returns the HTTP method.
+func (c *Call) Method() string { return c.method }
+
+// Host returns the HTTP host.
+func (c *Call) Host() string { return c.host }
+
+// Target returns the path with its query.
+func (c *Call) Target() string { return c.target }
+
+// Header returns the request header; it must not be changed.
+func (c *Call) Header() http.Header { return c.header }
+
+// Body returns the request body; it must not be changed.
+func (c *Call) Body() []byte { return c.body }
+
+// Deadline returns the time after which the caller no longer waits, or zero.
+func (c *Call) Deadline() time.Time { return c.deadline }
+
+// Rank returns the rank asked for, or an empty string.
+func (c *Call) Rank() string { return c.rank }
+
+// IdempotencyKey returns the key, or an empty string.
+func (c *Call) IdempotencyKey() string { return c.idempotencyKey }
+
+// Retried reports whether an earlier hop retries the call.
+func (c *Call) Retried() bool { return c.retried }
--- /dev/null
+++ b/baobabcall/doc.go
@@ -0,0 +1,3 @@
+// Package baobabcall defines the terms that the edges, routing and admission share: calls, answers,
+// refusals and outcomes.
+package baobabcall
--- /dev/null
+++ b/baobabcall/outcome.go
@@ -0,0 +1,14 @@
+package baobabcall
+
+// Outcome says whether the upstream ran a call.
+type Outcome string
+
+// Outcomes, in the form sent to callers.
+const (
+	// OutcomeRan means that the upstream ran the call and its answer is attached.
+	OutcomeRan Outcome = "ran"
+	// OutcomeNotRun means that no upstream started the call, and none will.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that an upstream may have run the call.
+	OutcomeUnknown Outcome = "unknown"
+)
--- /dev/null
+++ b/baobabcall/refusal.go
@@ -0,0 +1,105 @@
+package baobabcall
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Reason names why a call was refused. Each reason has a counter.
+type Reason string
+
+// Refusal reasons, sorted.
+const (
+	ReasonAnswerLost          Reason = "answer_lost"
+	ReasonCallerShare         Reason = "caller_share"
+	ReasonDeadlinePassed      Reason = "deadline_passed"
+	ReasonDeadlineUnmeetable  Reason = "deadline_unmeetable"
+	ReasonDraining            Reason = "draining"
+	ReasonInProgress          Reason = "in_progress"
+	ReasonKeyRequired         Reason = "key_required"
+	ReasonKeyReused           Reason = "key_reused"
+	ReasonMalformed           Reason = "malformed"
+	ReasonNoRoute             Reason = "no_route"
+	ReasonNoUpstream          Reason = "no_upstream"
+	ReasonNotReady            Reason = "not_ready"
+	ReasonOverSize            Reason = "over_size"
+	ReasonPeerUnreachable     Reason = "peer_unreachable"
+	ReasonQuarantined         Reason = "quarantined"
+	ReasonQueueFull           Reason = "queue_full"
+	ReasonRetryBudget         Reason = "retry_budget"
+	ReasonStoreUnavailable    Reason = "store_unavailable"
+	ReasonUpstreamFailed      Reason = "upstream_failed"
+	ReasonUpstreamUnavailable Reason = "upstream_unavailable"
+)
+
+// Reasons returns all refusal reasons, sorted.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonAnswerLost, ReasonCallerShare, ReasonDeadlinePassed, ReasonDeadlineUnmeetable, ReasonDraining,
+		ReasonInProgress, ReasonKeyRequired, ReasonKeyReused, ReasonMalformed, ReasonNoRoute, ReasonNoUpstream,
+		ReasonNotReady, ReasonOverSize, ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull,
+		ReasonRetryBudget, ReasonStoreUnavailable, ReasonUpstreamFailed, ReasonUpstreamUnavailable,
+	}
+}
+
+// Status returns the HTTP status code that callers get for the reason.
+func (r Reason) Status() int {
+	switch r {
+	case ReasonNoRoute:
+		return http.StatusNotFound
+	case ReasonMalformed, ReasonKeyRequired:
+		return http.StatusBadRequest
+	case ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case ReasonInProgress:
+		return http.StatusConflict
+	case ReasonOverSize:
+		return http.StatusRequestEntityTooLarge
+	case ReasonCallerShare, ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case ReasonDeadlinePassed, ReasonDeadlineUnmeetable:
+		return http.StatusGatewayTimeout
+	case ReasonAnswerLost, ReasonUpstreamFailed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// A Refusal tells the caller why its call got no answer of an upstream, and whether it was run.
+type Refusal struct {
+	reason     Reason
+	outcome    Outcome
+	detail     string
+	retryAfter time.Duration // Zero when waiting does not help.
+}
+
+// NewRefusal returns a refusal.
+func NewRefusal(reason Reason, outcome Outcome, detail string) *Refusal {
+	return &Refusal{reason: reason, outcome: outcome, detail: detail}
+}
+
+// WithRetryAfter returns a copy that asks the caller to wait for d.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.retryAfter = d
+	return &c
+}
+
+// Reason returns the reason.
+func (r *Refusal) Reason() Reason { return r.reason }
+
+// Outcome returns whether the call may have been run: OutcomeNotRun or OutcomeUnknown.
+func (r *Refusal) Outcome() Outcome { return r.outcome }
+
+// Detail returns text for people.
+func (r *Refusal) Detail() string { return r.detail }
+
+// RetryAfter returns how long to wait, or zero.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("call refused: %s (%s): %s", r.reason, r.outcome, r.detail)
+}
