platform: client of table service and object store; emulator: stand-in of the platform

The nodes need the platform's rows and objects, and every caller must know whether a failed write may still take effect.

Change: baobabplatform with Store, Client, Transaction and Error; docs/platform-api.md with the protocol; baobabemulator.Platform as an HTTP stand-in with rates, faults and counters; NewMemoryStore as a Store for unit tests. A write is sent once: its body cannot be rewound and redirects are not followed. A write whose body was never read by the transport is withdrawn and reported as not applied; any other failure without an explicit answer is an unknown outcome.

Conclusion: callers can treat conflict, throttled, unavailable and invalid as not applied.

--- /dev/null
+++ b/baobabemulator/platformmemorystore.go
@@ -0,0 +1,117 @@
+package baobabemulator
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
+)
+
+// A PlatformMemoryStore is a platform.Store in memory for unit tests. It takes the same faults as Platform,
+// but ignores the delay and has no rates.
+type PlatformMemoryStore struct {
+	table    *PlatformTable
+	injector platformInjector
+}
+
+var _ platform.Store = (*PlatformMemoryStore)(nil)
+
+// NewMemoryStore returns an empty store.
+func NewMemoryStore() *PlatformMemoryStore {
+	return &PlatformMemoryStore{table: NewPlatformTable()}
+}
+
+// SetFaults replaces the faults.
+func (s *PlatformMemoryStore) SetFaults(f PlatformFaults) error {
+	if err := f.Validate(); err != nil {
+		return err
+	}
+	s.table.SetStaleReads(f.StaleReads)
+	s.injector.set(f)
+	return nil
+}
+
+// Get implements platform.Store.
+func (s *PlatformMemoryStore) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+	if err := s.admitRead(ctx, "get"); err != nil {
+		return platform.Row{}, false, err
+	}
+	r, ok := s.table.get(key)
+	return r, ok, nil
+}
+
+// Scan implements platform.Store.
+func (s *PlatformMemoryStore) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := s.admitRead(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	return s.table.scan(prefix), nil
+}
+
+// Commit implements platform.Store.
+func (s *PlatformMemoryStore) Commit(ctx context.Context, tx platform.Transaction) (uint64, error) {
+	const operation = "commit"
+	lose, err := s.admitWrite(ctx, operation)
+	if err != nil {
+		return 0, err
+	}
+	revision, err := s.table.commit(tx)
+	if lose {
+		return 0, lostPlatformAnswer(operation)
+	}
+	return revision, err
+}
+
+// PutObject implements platform.Store.
+func (s *PlatformMemoryStore) PutObject(ctx context.Context, name string, data []byte) error {
+	const operation = "put object"
+	lose, err := s.admitWrite(ctx, operation)
+	if err != nil {
+		return err
+	}
+	err = s.table.putObject(name, data)
+	if lose {
+		return lostPlatformAnswer(operation)
+	}
+	return err
+}
+
+// GetObject implements platform.Store.
+func (s *PlatformMemoryStore) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := s.admitRead(ctx, "get object"); err != nil {
+		return nil, err
+	}
+	return s.table.getObject(name)
+}
+
+func (s *PlatformMemoryStore) admitRead(ctx context.Context, operation string) error {
+	if err := ctx.Err(); err != nil {
+		return platform.NewError(operation, platform.KindUnavailable, err)
+	}
+	if s.injector.decide(false) != platformPass {
+		return platform.NewError(operation, platform.KindUnavailable, errors.New("injected"))
+	}
+	return nil
+}
+
+// admitWrite reports whether the answer is to be lost.
+func (s *PlatformMemoryStore) admitWrite(ctx context.Context, operation string) (bool, error) {
+	if err := ctx.Err(); err != nil {
+		return false, platform.NewError(operation, platform.KindUnavailable, err)
+	}
+	switch s.injector.decide(true) {
+	case platformRefuse:
+		return false, platform.NewError(operation, platform.KindUnavailable, errors.New("injected"))
+	case platformDrop:
+		return false, lostPlatformAnswer(operation)
+	case platformLose:
+		return true, nil
+	default:
+		return false, nil
+	}
+}
+
+func lostPlatformAnswer(operation string) error {
+	return platform.NewError(operation, platform.KindUnknownOutcome, errors.New("answer lost by injection"))
+}
--- /dev/null
+++ b/baobabplatform/error.go
@@ -0,0 +1,83 @@
+package baobabplatform
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Kind classifies a failure by what is known about its effect.
+type Kind string
+
+// Kinds of failure, sorted.
+const (
+	// KindConflict means that a condition did not hold and nothing was applied.
+	KindConflict Kind = "conflict"
+	// KindInvalid means that the request exceeds a limit or the platform does not accept it; nothing was applied.
+	KindInvalid Kind = "invalid"
+	// KindNotFound means that the object does not exist.
+	KindNotFound Kind = "not_found"
+	// KindThrottled means that the platform refused the request because of its rate; nothing was applied.
+	KindThrottled Kind = "throttled"
+	// KindUnavailable means that a read failed, or that a write was definitely not applied.
+	KindUnavailable Kind = "unavailable"
+	// KindUnknownOutcome means that a write may have been applied, or may still be applied later.
+	KindUnknownOutcome Kind = "unknown_outcome"
+)
+
+// An Error is a failed operation of a Store.
+type Error struct {
+	operation string
+	kind      Kind
+	rows      []Row // Current rows under the conditions of a conflicting transaction; absent rows are left out.
+	cause     error
+}
+
+// NewError returns an error. The cause may be nil.
+func NewError(operation string, kind Kind, cause error) *Error {
+	return &Error{operation: operation, kind: kind, cause: cause}
+}
+
+// NewConflict returns a conflict with the rows that exist now under the keys of the conditions.
+func NewConflict(operation string, rows []Row) *Error {
+	return &Error{operation: operation, kind: KindConflict, rows: rows}
+}
+
+// Operation returns the operation that failed, for example "commit".
+func (e *Error) Operation() string { return e.operation }
+
+// Kind returns the kind of the failure.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Row returns the current row with the key from a conflict, and whether it exists.
+func (e *Error) Row(key string) (Row, bool) {
+	for _, r := range e.rows {
+		if r.key == key {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
+
+// Rows returns the current rows under the conditions of a conflict.
+func (e *Error) Rows() []Row { return e.rows }
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("platform %s: %s", e.operation, e.kind)
+	}
+	return fmt.Sprintf("platform %s: %s: %v", e.operation, e.kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// KindOf returns the kind of the *Error in the chain of err, or an empty kind if there is none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.kind
+	}
+	return ""
+}
--- /dev/null
+++ b/baobabplatform/store.go
@@ -0,0 +1,19 @@
+package baobabplatform
+
+import "context"
+
+// A Store holds rows in a transactional table and immutable named objects. Every error is an *Error.
+type Store interface {
+	// Get returns the row with the key, and whether it exists.
+	Get(ctx context.Context, key string) (Row, bool, error)
+	// Scan returns all rows whose key starts with prefix, from one consistent read, sorted by key.
+	Scan(ctx context.Context, prefix string) ([]Row, error)
+	// Commit applies all writes of the transaction if all of its conditions hold, and nothing otherwise. It
+	// returns the table revision that the written rows carry. Without writes it is a consistent check of the
+	// conditions. The transaction is sent at most once.
+	Commit(ctx context.Context, tx Transaction) (revision uint64, err error)
+	// PutObject stores data under the name. Storing the same data again succeeds; other data is a conflict.
+	PutObject(ctx context.Context, name string, data []byte) error
+	// GetObject returns the data stored under the name.
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
