baobabsettings: read and check the settings of a node

Cause: a node learns its addresses, limits and credentials from an INI file, and a fault in that file must be found before the node joins the mesh.

Change: typed sections with accessors; every problem is one line "file: [section] key: text", all reported together, sorted, in an *Error with operation and kind. The INI library keeps the last of two equal keys without a word, so a scan of the lines reports repeated keys and sections.

--- /dev/null
+++ b/baobabsettings/limits.go
@@ -0,0 +1,30 @@
+package baobabsettings
+
+// Limits bounds what a node accepts.
+type Limits struct {
+	maxHeaderSize  Size
+	maxBodySize    Size
+	maxMessageSize Size
+	maxCalls       int
+}
+
+func readLimits(r *reader) Limits {
+	return Limits{
+		maxHeaderSize:  r.size("limits", "max_header_size", 64*KiB, KiB, MiB),
+		maxBodySize:    r.size("limits", "max_body_size", MiB, KiB, GiB),
+		maxMessageSize: r.size("limits", "max_message_size", 16*MiB, 64*KiB, 256*MiB),
+		maxCalls:       r.integer("limits", "max_calls", 4096, 1, 1<<20),
+	}
+}
+
+// MaxHeaderSize returns the largest request header of a caller.
+func (l Limits) MaxHeaderSize() Size { return l.maxHeaderSize }
+
+// MaxBodySize returns the largest request body of a caller.
+func (l Limits) MaxBodySize() Size { return l.maxBodySize }
+
+// MaxMessageSize returns the largest message between nodes.
+func (l Limits) MaxMessageSize() Size { return l.maxMessageSize }
+
+// MaxCalls returns the largest number of calls in progress at the entry.
+func (l Limits) MaxCalls() int { return l.maxCalls }
--- /dev/null
+++ b/baobabsettings/listen.go
@@ -0,0 +1,55 @@
+package baobabsettings
+
+import "net/netip"
+
+// Listen holds the addresses on which a node listens.
+type Listen struct {
+	entry    netip.AddrPort
+	peer     netip.AddrPort
+	operator netip.AddrPort
+	announce netip.AddrPort
+}
+
+func readListen(r *reader) Listen {
+	l := Listen{
+		entry:    r.address("listen", "entry_address"),
+		peer:     r.address("listen", "peer_address"),
+		operator: r.address("listen", "operator_address"),
+		announce: r.address("listen", "announce_address"),
+	}
+	if l.peer.IsValid() && l.peer.Addr().IsUnspecified() {
+		r.problem("listen", "peer_address", "%s is not an address that other nodes can dial", l.peer)
+	}
+	l.checkDistinct(r)
+	return l
+}
+
+func (l Listen) checkDistinct(r *reader) {
+	keys := map[netip.AddrPort]string{}
+	for _, e := range []struct {
+		key     string
+		address netip.AddrPort
+	}{
+		{"announce_address", l.announce},
+		{"entry_address", l.entry},
+		{"operator_address", l.operator},
+		{"peer_address", l.peer},
+	} {
+		if first, ok := keys[e.address]; ok && e.address.IsValid() {
+			r.problem("listen", e.key, "%s is also %s", e.address, first)
+		}
+		keys[e.address] = e.key
+	}
+}
+
+// Entry returns the address for callers.
+func (l Listen) Entry() netip.AddrPort { return l.entry }
+
+// Peer returns the address for other nodes.
+func (l Listen) Peer() netip.AddrPort { return l.peer }
+
+// Operator returns the address for operators, metrics and health.
+func (l Listen) Operator() netip.AddrPort { return l.operator }
+
+// Announce returns the address for announcements of the local upstream.
+func (l Listen) Announce() netip.AddrPort { return l.announce }
--- /dev/null
+++ b/baobabsettings/platform.go
@@ -0,0 +1,43 @@
+package baobabsettings
+
+import (
+	"net/url"
+	"time"
+)
+
+// Platform says how the platform is reached.
+type Platform struct {
+	url          string
+	timeout      time.Duration // Of one request.
+	pollInterval time.Duration // Between reads of the head by the nodes that poll.
+}
+
+func readPlatform(r *reader) Platform {
+	return Platform{
+		url:          readURL(r, "platform", "url"),
+		timeout:      r.duration("platform", "timeout", 2*time.Second, 10*time.Millisecond, time.Minute),
+		pollInterval: r.duration("platform", "poll_interval", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
+	}
+}
+
+func readURL(r *reader, section, key string) string {
+	v, ok := r.required(section, key)
+	if !ok {
+		return ""
+	}
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		r.problem(section, key, "%q is not an http or https URL", v)
+		return ""
+	}
+	return v
+}
+
+// URL returns the base URL.
+func (p Platform) URL() string { return p.url }
+
+// Timeout returns the time allowed for one request.
+func (p Platform) Timeout() time.Duration { return p.timeout }
+
+// PollInterval returns the time between two reads of the head.
+func (p Platform) PollInterval() time.Duration { return p.pollInterval }
--- /dev/null
+++ b/baobabsettings/settings.go
@@ -0,0 +1,98 @@
+package baobabsettings
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// minSecretBytes is the smallest length of a key or token.
+const minSecretBytes = 16
+
+// Settings are the checked settings of a node.
+type Settings struct {
+	node       Node
+	listen     Listen
+	platform   Platform
+	peers      Peers
+	operator   Operator
+	limits     Limits
+	call       Call
+	claim      Claim
+	membership Membership
+	shutdown   Shutdown
+	log        Log
+}
+
+// Load reads and checks a settings file and the files that it names. Relative names are relative to
+// the folder of the settings file. The error is an *Error.
+func Load(name string) (*Settings, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		problem := Problem{file: name, text: oneLine(errors.Cause(err).Error())}
+		return nil, newError("load settings", KindUnreadable, []Problem{problem}, err)
+	}
+	return Parse(name, data, func(file string) ([]byte, error) {
+		if !filepath.IsAbs(file) {
+			file = filepath.Join(filepath.Dir(name), file)
+		}
+		return os.ReadFile(file)
+	})
+}
+
+// Parse checks settings and reads the files that they name with readFile. The error is an *Error.
+func Parse(name string, data []byte, readFile func(string) ([]byte, error)) (*Settings, error) {
+	r := newReader(name, data, readFile)
+	s := &Settings{
+		node:       readNode(r),
+		listen:     readListen(r),
+		platform:   readPlatform(r),
+		peers:      readPeers(r),
+		operator:   readOperator(r),
+		limits:     readLimits(r),
+		call:       readCall(r),
+		claim:      readClaim(r),
+		membership: readMembership(r),
+		shutdown:   readShutdown(r),
+		log:        readLog(r),
+	}
+	r.reportUnknown()
+	if len(r.problems) > 0 {
+		return nil, newError("check settings", KindInvalid, r.problems, nil)
+	}
+	return s, nil
+}
+
+// Node returns the identity of the node.
+func (s *Settings) Node() Node { return s.node }
+
+// Listen returns the addresses on which the node listens.
+func (s *Settings) Listen() Listen { return s.listen }
+
+// Platform returns how the platform is reached.
+func (s *Settings) Platform() Platform { return s.platform }
+
+// Peers returns how other nodes are found and authenticated.
+func (s *Settings) Peers() Peers { return s.peers }
+
+// Operator returns the settings of the operators' API.
+func (s *Settings) Operator() Operator { return s.operator }
+
+// Limits returns the bounds of what the node accepts.
+func (s *Settings) Limits() Limits { return s.limits }
+
+// Call returns the time limits of calls.
+func (s *Settings) Call() Call { return s.call }
+
+// Claim returns the settings of at-most-once records.
+func (s *Settings) Claim() Claim { return s.claim }
+
+// Membership returns the intervals of failure detection and exchange.
+func (s *Settings) Membership() Membership { return s.membership }
+
+// Shutdown returns the time limits of a graceful stop.
+func (s *Settings) Shutdown() Shutdown { return s.shutdown }
+
+// Log returns the level and the format of log lines.
+func (s *Settings) Log() Log { return s.log }
