--- /dev/null
+++ b/baobaboperator/version.go
@@ -0,0 +1,17 @@
+package baobaboperator
+
+import "fmt"
+
+// A Version identifies a configuration version. It is a wire format.
+type Version struct {
+	Number uint64 `json:"number"` // 0 means no version.
+	Digest string `json:"digest"` // Hexadecimal.
+}
+
+// String returns the number and the start of the digest.
+func (v Version) String() string {
+	if v.Number == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%d (%.12s)", v.Number, v.Digest)
+}
