caller: callers' edge over net/http and goji

Cause: ingress needs bounded reading of requests, truthful refusals, and answers that a caller cannot mistake for complete when they are truncated.

Change: Handler reads a request whole into a call, drops hop-by-hop fields, writes outcome, refusal and Retry-After, streams answers, and aborts the connection of a truncated answer. HTTP/1.0 callers get answers of unknown length only when they are complete, because they cannot be sent chunks. Edge stops in two steps: it asks callers to close connections while it still accepts, then closes listeners and waits.

A write deadline stays on the connection after the answer that set it; without its renewal a later answer on the same connection was cut off. TestWriteTimeoutIsRenewed fails on a scratch copy without the renewal ("ReadAll: unexpected EOF").

--- /dev/null
+++ b/baobabcaller/edge_test.go
@@ -0,0 +1,116 @@
+package baobabcaller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// TestShutdown guards against a stop that interrupts a request in progress, refuses callers during the grace
+// period, or leaves them unaware that they must connect elsewhere.
+func TestShutdown(t *testing.T) {
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	server := serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		if c.Target() == "/slow" {
+			started <- struct{}{}
+			<-release
+		}
+		return call.NewAnswer(200, nil, io.NopCloser(strings.NewReader("done"))), nil
+	})
+	handler := NewHandler(server)
+	edge := NewEdge(handler, WithGrace(time.Hour))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+	edge.Start(l)
+	url := "http://" + l.Addr().String()
+	slow := make(chan string, 1)
+	go func() {
+		response, err := http.Get(url + "/slow")
+		if err != nil {
+			slow <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		b, err := io.ReadAll(response.Body)
+		if err != nil {
+			b = []byte(err.Error())
+		}
+		slow <- string(b)
+	}()
+	<-started
+	graceCtx, endGrace := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() {
+		// The grace period lasts until endGrace; then Shutdown waits for the slow request.
+		handler.Close()
+		<-graceCtx.Done()
+		edge.grace = 0
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		stopped <- edge.Shutdown(ctx)
+	}()
+	for !handler.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	response, _ := do(t, "GET", url+"/fast", nil, nil)
+	if response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("answer in the grace period: status %d, close %v", response.StatusCode, response.Close)
+	}
+	endGrace()
+	for {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	if got := <-slow; got != "done" {
+		t.Errorf("request in progress got %q", got)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// TestShutdownLimit guards against a stop that waits for a stuck request without limit.
+func TestShutdownLimit(t *testing.T) {
+	started := make(chan struct{})
+	edge := NewEdge(NewHandler(serverFunc(func(ctx context.Context, _ time.Time, _ *call.Call) (*call.Answer, *call.Refusal) {
+		close(started)
+		<-ctx.Done()
+		return nil, call.NewRefusal(call.ReasonAnswerLost, call.OutcomeUnknown, "stopped")
+	})), WithGrace(0))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+	edge.Start(l)
+	failed := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + l.Addr().String())
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		failed <- err
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if err := edge.Shutdown(ctx); err == nil {
+		t.Error("Shutdown returned no error for an interrupted request")
+	}
+	if err := <-failed; err == nil {
+		t.Error("interrupted request succeeded")
+	}
+}
--- /dev/null
+++ b/baobabcaller/handler.go
@@ -0,0 +1,114 @@
+package baobabcaller
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	goji "goji.io"
+	"goji.io/pat"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+const (
+	defaultMaxBodyBytes   = 4 << 20
+	defaultMaxHeaderBytes = 32 << 10
+	defaultBodyTimeout    = 30 * time.Second
+	defaultWriteTimeout   = 30 * time.Second
+)
+
+// A Handler turns HTTP requests into calls of a Server and writes the answers.
+type Handler struct {
+	server         Server
+	mux            *goji.Mux
+	meters         *meters
+	ids            *identifiers
+	maxBodyBytes   int64         // Also the limit of answers to HTTP/1.0 callers.
+	maxHeaderBytes int           // Sum of names and values.
+	bodyTimeout    time.Duration // Time in which the request body must arrive.
+	writeTimeout   time.Duration // Time in which the caller must take each piece of the answer.
+	clock          func() time.Time
+	closing        atomic.Bool // Set: each answer asks the caller to close its connection.
+}
+
+// Option sets an optional property of a Handler.
+type Option func(*Handler)
+
+// WithMaxBodyBytes sets the largest request body.
+func WithMaxBodyBytes(n int64) Option { return func(h *Handler) { h.maxBodyBytes = n } }
+
+// WithMaxHeaderBytes sets the largest sum of header names and values.
+func WithMaxHeaderBytes(n int) Option { return func(h *Handler) { h.maxHeaderBytes = n } }
+
+// WithBodyTimeout sets the time in which a request body must arrive.
+func WithBodyTimeout(d time.Duration) Option { return func(h *Handler) { h.bodyTimeout = d } }
+
+// WithWriteTimeout sets the time in which the caller must take each piece of an answer.
+func WithWriteTimeout(d time.Duration) Option { return func(h *Handler) { h.writeTimeout = d } }
+
+// WithMetrics sets the set in which the edge's metrics are registered.
+func WithMetrics(s *metrics.Set) Option { return func(h *Handler) { h.meters = newMeters(s) } }
+
+// WithClock replaces time.Now.
+func WithClock(now func() time.Time) Option { return func(h *Handler) { h.clock = now } }
+
+// NewHandler returns a handler for all hosts and paths.
+func NewHandler(server Server, options ...Option) *Handler {
+	h := &Handler{
+		server:         server,
+		mux:            goji.NewMux(),
+		ids:            newIdentifiers(),
+		maxBodyBytes:   defaultMaxBodyBytes,
+		maxHeaderBytes: defaultMaxHeaderBytes,
+		bodyTimeout:    defaultBodyTimeout,
+		writeTimeout:   defaultWriteTimeout,
+		clock:          time.Now,
+	}
+	for _, o := range options {
+		o(h)
+	}
+	if h.meters == nil {
+		h.meters = newMeters(metrics.NewSet())
+	}
+	h.mux.HandleFunc(pat.New("/*"), h.serveCall)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodConnect || r.URL.Path == "" || r.URL.Path[0] != '/' {
+		w.Header().Set(headerCallID, h.ids.next())
+		h.writeRefusal(w, notRun(call.ReasonMalformed, "request target must be a path"))
+		return
+	}
+	h.mux.ServeHTTP(w, r)
+}
+
+// Close makes each further answer ask the caller to close its connection. Calls are still served.
+func (h *Handler) Close() { h.closing.Store(true) }
+
+func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
+	now := h.clock()
+	id := h.ids.next()
+	w.Header().Set(headerCallID, id)
+	c, refusal := h.readCall(w, r, now, id)
+	if refusal != nil {
+		// The rest of the body may be unread, so the connection cannot carry another request.
+		w.Header().Set("Connection", "close")
+		h.writeRefusal(w, refusal)
+		return
+	}
+	defer func() { h.meters.observe(c.Rank(), h.clock().Sub(now)) }()
+	answer, refusal := h.server.Serve(r.Context(), now, c)
+	if refusal == nil && (answer == nil || !validStatus(answer.Status())) {
+		refusal = call.NewRefusal(call.ReasonUpstreamFailed, call.OutcomeUnknown, "upstream gave no valid answer")
+	}
+	if refusal != nil {
+		closeBody(answer)
+		h.writeRefusal(w, refusal)
+		return
+	}
+	h.writeAnswer(w, r, answer)
+}
--- /dev/null
+++ b/baobabcaller/handler_test.go
@@ -0,0 +1,349 @@
+package baobabcaller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+type serverFunc func(ctx context.Context, now time.Time, c *call.Call) (*call.Answer, *call.Refusal)
+
+func (f serverFunc) Serve(ctx context.Context, now time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+	return f(ctx, now, c)
+}
+
+func answerWith(status int, header http.Header, body io.Reader) serverFunc {
+	return func(context.Context, time.Time, *call.Call) (*call.Answer, *call.Refusal) {
+		return call.NewAnswer(status, header, io.NopCloser(body)), nil
+	}
+}
+
+// start returns the URL of a handler on a real connection and its metrics.
+func start(t *testing.T, s Server, options ...Option) (string, *metrics.Set) {
+	t.Helper()
+	set := metrics.NewSet()
+	server := httptest.NewServer(NewHandler(s, append(options, WithMetrics(set))...))
+	t.Cleanup(server.Close)
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	return server.URL, set
+}
+
+// reply is a response read whole.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool // The edge asked for the connection to be closed.
+}
+
+func do(t *testing.T, method, url string, header http.Header, body io.Reader) (reply, []byte) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, body)
+	if err != nil {
+		t.Fatalf("NewRequest: %v", err)
+	}
+	for k, v := range header {
+		request.Header[k] = v
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatalf("Do: %v", err)
+	}
+	defer response.Body.Close()
+	b, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("ReadAll: %v", err)
+	}
+	return reply{StatusCode: response.StatusCode, Header: response.Header, Close: response.Close}, b
+}
+
+// TestCallFields guards against fields of the request that are lost or forwarded twice.
+func TestCallFields(t *testing.T) {
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	var got *call.Call
+	server := serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		got = c
+		return call.NewAnswer(200, http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-End": {"2"}, "Baobab-Outcome": {"forged"}}, io.NopCloser(strings.NewReader("ok"))), nil
+	})
+	url, _ := start(t, server, WithClock(func() time.Time { return now }))
+	header := http.Header{
+		"Baobab-Caller": {"practice-7"}, "Baobab-Rank": {"urgent"}, "Baobab-Timeout-Ms": {"250"},
+		"Idempotency-Key": {"k1"}, "Baobab-Retried": {"1"}, "Connection": {"X-Secret"}, "X-Secret": {"1"},
+		"Te": {"trailers"}, "X-Kept": {"a", "b"},
+	}
+	response, body := do(t, "POST", url+"//a%2Fb/c?q=1&r", header, strings.NewReader("hello"))
+	if string(body) != "ok" || response.Header.Get("Baobab-Outcome") != "ran" {
+		t.Errorf("answer = %q, outcome %q", body, response.Header.Get("Baobab-Outcome"))
+	}
+	if response.Header.Get("X-Hop") != "" || response.Header.Get("X-End") != "2" {
+		t.Errorf("answer header = %v, want X-End without X-Hop", response.Header)
+	}
+	if got.ID() == "" || response.Header.Get("Baobab-Call-Id") != got.ID() {
+		t.Errorf("call id = %q, echoed %q", got.ID(), response.Header.Get("Baobab-Call-Id"))
+	}
+	text := fmt.Sprintln(got.Caller(), got.Rank(), got.IdempotencyKey(), got.Retried(), got.Deadline().Sub(now), got.Method(), got.Target(), string(got.Body()))
+	if want := "practice-7 urgent k1 true 250ms POST //a%2Fb/c?q=1&r hello\n"; text != want {
+		t.Errorf("call = %q, want %q", text, want)
+	}
+	for _, name := range []string{"Connection", "X-Secret", "Te", "Baobab-Caller", "Idempotency-Key", "Baobab-Retried", "Content-Length"} {
+		if _, ok := got.Header()[name]; ok {
+			t.Errorf("call header has %s", name)
+		}
+	}
+	if fmt.Sprint(got.Header()["X-Kept"]) != "[a b]" {
+		t.Errorf("X-Kept = %v", got.Header()["X-Kept"])
+	}
+}
+
+// TestCallerFromAddress guards against calls without an identity.
+func TestCallerFromAddress(t *testing.T) {
+	var got *call.Call
+	url, _ := start(t, serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		got = c
+		return call.NewAnswer(204, nil, http.NoBody), nil
+	}))
+	do(t, "GET", url, nil, nil)
+	if got.Caller() != "127.0.0.1" || !got.Deadline().IsZero() || got.Retried() {
+		t.Errorf("caller = %q, deadline %v, retried %v", got.Caller(), got.Deadline(), got.Retried())
+	}
+}
+
+// TestEdgeRefusals guards against requests out of bounds that reach the server, and against refusals that are not
+// counted or not described.
+func TestEdgeRefusals(t *testing.T) {
+	server := serverFunc(func(context.Context, time.Time, *call.Call) (*call.Answer, *call.Refusal) {
+		t.Error("Serve was called")
+		return nil, nil
+	})
+	url, set := start(t, server, WithMaxBodyBytes(10), WithMaxHeaderBytes(2000))
+	tests := []struct {
+		name   string
+		header http.Header
+		body   io.Reader
+		want   call.Reason
+	}{
+		{"long body", nil, strings.NewReader("12345678901"), call.ReasonOverSize},
+		{"long chunked body", nil, io.MultiReader(strings.NewReader("12345678901")), call.ReasonOverSize},
+		{"long header", http.Header{"X": {strings.Repeat("a", 2000)}}, nil, call.ReasonOverSize},
+		{"bad timeout", http.Header{"Baobab-Timeout-Ms": {"-1"}}, nil, call.ReasonMalformed},
+		{"bad retried", http.Header{"Baobab-Retried": {"maybe"}}, nil, call.ReasonMalformed},
+		{"two keys", http.Header{"Idempotency-Key": {"a", "b"}}, nil, call.ReasonMalformed},
+		{"long rank", http.Header{"Baobab-Rank": {strings.Repeat("a", 257)}}, nil, call.ReasonMalformed},
+	}
+	for _, tt := range tests {
+		response, b := do(t, "POST", url+"/", tt.header, tt.body)
+		var body refusalBody
+		if err := json.Unmarshal(b, &body); err != nil {
+			t.Errorf("%s: body %q: %v", tt.name, b, err)
+		}
+		if response.StatusCode != tt.want.Status() || response.Header.Get("Baobab-Refusal") != string(tt.want) || body.Reason != tt.want {
+			t.Errorf("%s: status %d, refusal %q, body %s", tt.name, response.StatusCode, response.Header.Get("Baobab-Refusal"), b)
+		}
+		if response.Header.Get("Baobab-Outcome") != "not_run" || response.Header.Get("Baobab-Call-Id") == "" {
+			t.Errorf("%s: header %v", tt.name, response.Header)
+		}
+	}
+	if n := set.GetOrCreateCounter("baobab_caller_over_size_total").Get(); n != 3 {
+		t.Errorf("over size counter = %d, want 3", n)
+	}
+	if n := set.GetOrCreateCounter(`baobab_caller_refusals_total{reason="malformed",outcome="not_run"}`).Get(); n != 4 {
+		t.Errorf("malformed counter = %d, want 4", n)
+	}
+}
+
+// TestServerRefusal guards against a refusal without its outcome or with a Retry-After that is rounded down.
+func TestServerRefusal(t *testing.T) {
+	url, _ := start(t, serverFunc(func(context.Context, time.Time, *call.Call) (*call.Answer, *call.Refusal) {
+		return nil, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "full").WithRetryAfter(1100 * time.Millisecond)
+	}))
+	response, _ := do(t, "GET", url, nil, nil)
+	if response.StatusCode != http.StatusTooManyRequests || response.Header.Get("Retry-After") != "2" {
+		t.Errorf("status %d, Retry-After %q", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+	url, _ = start(t, serverFunc(func(context.Context, time.Time, *call.Call) (*call.Answer, *call.Refusal) { return nil, nil }))
+	response, _ = do(t, "GET", url, nil, nil)
+	if response.Header.Get("Baobab-Outcome") != "unknown" {
+		t.Errorf("outcome without answer = %q, want unknown", response.Header.Get("Baobab-Outcome"))
+	}
+}
+
+// truncated yields its text and then the error of a truncated body.
+func truncated(text string) io.Reader {
+	return io.MultiReader(strings.NewReader(text), errorReader{})
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestTruncatedAnswer guards against a part of an answer that a caller takes for the whole.
+func TestTruncatedAnswer(t *testing.T) {
+	tests := []struct {
+		name   string
+		header http.Header
+		body   io.Reader
+	}{
+		{"chunked", nil, truncated("part")},
+		{"chunked, large", nil, truncated(strings.Repeat("x", 200_000))},
+		{"nothing sent", nil, truncated("")},
+		{"declared length", http.Header{"Content-Length": {"9"}}, truncated("part")},
+		{"short without error", http.Header{"Content-Length": {"9"}}, strings.NewReader("part")},
+	}
+	for _, tt := range tests {
+		url, _ := start(t, answerWith(200, tt.header, tt.body))
+		response, err := http.Get(url)
+		if err != nil {
+			continue
+		}
+		b, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err == nil {
+			t.Errorf("%s: caller got %d bytes without error", tt.name, len(b))
+		}
+	}
+}
+
+// raw sends a request byte by byte and returns all that the edge sends until it closes the connection.
+func raw(t *testing.T, url, request string) []byte {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatalf("Dial: %v", err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, request)
+	b, _ := io.ReadAll(conn)
+	return b
+}
+
+// TestHTTP10 guards against truncated answers to callers that cannot be sent chunks.
+func TestHTTP10(t *testing.T) {
+	url, _ := start(t, answerWith(200, nil, strings.NewReader("whole")))
+	if b := raw(t, url, "GET / HTTP/1.0\r\n\r\n"); !bytes.Contains(b, []byte("Content-Length: 5\r\n")) || !bytes.HasSuffix(b, []byte("whole")) {
+		t.Errorf("complete answer = %q", b)
+	}
+	url, _ = start(t, answerWith(200, nil, truncated("part")))
+	b := raw(t, url, "GET / HTTP/1.0\r\n\r\n")
+	if !bytes.Contains(b, []byte("Baobab-Refusal: answer_lost")) || !bytes.Contains(b, []byte("Baobab-Call-Id")) {
+		t.Errorf("truncated answer = %q", b)
+	}
+}
+
+// TestConnect guards against request targets that are not paths.
+func TestConnect(t *testing.T) {
+	url, _ := start(t, answerWith(200, nil, strings.NewReader("")))
+	b := raw(t, url, "CONNECT a:1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	if !bytes.Contains(b, []byte("Baobab-Refusal: malformed")) {
+		t.Errorf("CONNECT = %q", b)
+	}
+}
+
+// TestStreaming guards against answers that are held back until they are complete.
+func TestStreaming(t *testing.T) {
+	reader, writer := io.Pipe()
+	url, _ := start(t, answerWith(200, nil, reader))
+	go func() { _, _ = io.WriteString(writer, "first\n") }()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatalf("Get: %v", err)
+	}
+	defer response.Body.Close()
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
+	if line != "first\n" || err != nil {
+		t.Errorf("first piece = %q, %v", line, err)
+	}
+	_ = writer.Close()
+}
+
+// TestCallerGone guards against work that goes on for a caller that has hung up.
+func TestCallerGone(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	url, _ := start(t, serverFunc(func(ctx context.Context, _ time.Time, _ *call.Call) (*call.Answer, *call.Refusal) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return nil, call.NewRefusal(call.ReasonAnswerLost, call.OutcomeUnknown, "gone")
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body"))
+	go func() {
+		<-started
+		cancel()
+	}()
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+		t.Error("request succeeded")
+	}
+	<-ended
+}
+
+// TestSlowBody guards against a caller that holds a connection by sending its body slowly, and against a body
+// deadline that cancels a call whose body arrived in time.
+func TestSlowBody(t *testing.T) {
+	t.Parallel()
+	url, _ := start(t, serverFunc(func(ctx context.Context, _ time.Time, _ *call.Call) (*call.Answer, *call.Refusal) {
+		select {
+		case <-ctx.Done():
+			return nil, call.NewRefusal(call.ReasonAnswerLost, call.OutcomeUnknown, "context ended")
+		case <-time.After(1250 * time.Millisecond):
+			return call.NewAnswer(200, nil, http.NoBody), nil
+		}
+	}), WithBodyTimeout(time.Second))
+	b := raw(t, url, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab")
+	if !bytes.Contains(b, []byte("Baobab-Refusal: malformed")) {
+		t.Errorf("slow body = %q", b)
+	}
+	response, _ := do(t, "POST", url, nil, strings.NewReader("body"))
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("status of a call longer than the body timeout = %d", response.StatusCode)
+	}
+}
+
+// TestWriteTimeoutIsRenewed guards against a write deadline of an earlier piece or answer that cuts off a later one
+// on the same connection.
+func TestWriteTimeoutIsRenewed(t *testing.T) {
+	t.Parallel()
+	const timeout = time.Second
+	url, _ := start(t, serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		if c.Target() == "/refused" {
+			time.Sleep(timeout + timeout/4)
+			return nil, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "full")
+		}
+		reader, writer := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(writer, "piece")
+			time.Sleep(timeout + timeout/4)
+			_ = writer.Close()
+		}()
+		return call.NewAnswer(200, nil, reader), nil
+	}), WithWriteTimeout(timeout))
+	if _, b := do(t, "GET", url+"/slow-end", nil, nil); string(b) != "piece" {
+		t.Errorf("answer = %q", b)
+	}
+	if response, _ := do(t, "GET", url+"/refused", nil, nil); response.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("status on the reused connection = %d", response.StatusCode)
+	}
+}
+
+// TestRankLabels guards against callers that grow the metrics without bound.
+func TestRankLabels(t *testing.T) {
+	m := newMeters(metrics.NewSet())
+	for i := range 100 {
+		m.observe(fmt.Sprintf("rank-%d", i), time.Millisecond)
+	}
+	if m.rankLabel("rank-0") != "rank-0" || m.rankLabel("rank-99") != "other" || len(m.ranks) != maxRankLabels {
+		t.Errorf("labels: first %q, last %q, count %d", m.rankLabel("rank-0"), m.rankLabel("rank-99"), len(m.ranks))
+	}
+}
--- /dev/null
+++ b/baobabcaller/meters.go
@@ -0,0 +1,70 @@
+package baobabcaller
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// maxRankLabels bounds the label values of the latency summaries, because callers choose the rank freely.
+const maxRankLabels = 16
+
+// meters holds the metrics of the callers' edge.
+type meters struct {
+	set       *metrics.Set
+	overSize  *metrics.Counter
+	truncated *metrics.Counter
+	gone      *metrics.Counter
+
+	mu    sync.Mutex
+	ranks map[string]bool // At most maxRankLabels entries.
+}
+
+func newMeters(set *metrics.Set) *meters {
+	m := &meters{
+		set:       set,
+		overSize:  set.GetOrCreateCounter("baobab_caller_over_size_total"),
+		truncated: set.GetOrCreateCounter(`baobab_caller_aborted_total{cause="truncated"}`),
+		gone:      set.GetOrCreateCounter(`baobab_caller_aborted_total{cause="caller_gone"}`),
+		ranks:     map[string]bool{},
+	}
+	m.answers(call.OutcomeRan)
+	for _, r := range call.Reasons() {
+		m.refusals(r, call.OutcomeNotRun)
+		m.refusals(r, call.OutcomeUnknown)
+	}
+	return m
+}
+
+func (m *meters) answers(o call.Outcome) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("baobab_caller_answers_total{outcome=%q}", o))
+}
+
+func (m *meters) refusals(r call.Reason, o call.Outcome) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("baobab_caller_refusals_total{reason=%q,outcome=%q}", r, o))
+}
+
+func (m *meters) observe(rank string, d time.Duration) {
+	name := fmt.Sprintf("baobab_caller_duration_seconds{rank=%q}", m.rankLabel(rank))
+	m.set.GetOrCreateSummary(name).Update(d.Seconds())
+}
+
+func (m *meters) rankLabel(rank string) string {
+	if rank == "" {
+		return "default"
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ranks[rank] {
+		return rank
+	}
+	if len(m.ranks) >= maxRankLabels {
+		return "other"
+	}
+	m.ranks[rank] = true
+	return rank
+}
