--- /dev/null
+++ b/baobabconfiguration/document.go
@@ -0,0 +1,125 @@
+package baobabconfiguration
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/pkg/errors"
+)
+
+// A Document is an immutable set of resources.
+type Document struct {
+	resources []Resource // Sorted by kind and name, without repetition.
+	digest    Digest
+}
+
+// NewDocument returns a document, or an error if two resources have the same kind and name.
+func NewDocument(resources []Resource) (*Document, error) {
+	list := slices.Clone(resources)
+	slices.SortFunc(list, compareResources)
+	for i := 1; i < len(list); i++ {
+		if compareResources(list[i-1], list[i]) == 0 {
+			return nil, newError("build document", ErrorInvalid, errors.Errorf("%s %s occurs twice", list[i].Kind(), list[i].Name()))
+		}
+	}
+	return &Document{resources: list, digest: digestOf(list)}, nil
+}
+
+// EmptyDocument returns a document without resources.
+func EmptyDocument() *Document { return &Document{digest: digestOf(nil)} }
+
+// Resources returns the resources, sorted by kind and name; they must not be changed.
+func (d *Document) Resources() []Resource { return d.resources }
+
+// Digest returns the digest of all resources.
+func (d *Document) Digest() Digest { return d.digest }
+
+// Get returns the resource, and whether it exists.
+func (d *Document) Get(kind Kind, name string) (Resource, bool) {
+	i, ok := sort.Find(len(d.resources), func(i int) int {
+		r := d.resources[i]
+		if r.Kind() != kind {
+			if kind < r.Kind() {
+				return -1
+			}
+			return 1
+		}
+		switch {
+		case name < r.Name():
+			return -1
+		case name > r.Name():
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return nil, false
+	}
+	return d.resources[i], true
+}
+
+// Service returns the service, and whether it exists.
+func (d *Document) Service(name string) (Service, bool) { return find[Service](d, KindService, name) }
+
+// Policy returns the policy, and whether it exists. An empty name means DefaultPolicyName, which always exists: it
+// is DefaultPolicy unless the document has a policy of that name.
+func (d *Document) Policy(name string) (Policy, bool) {
+	if name == "" {
+		name = DefaultPolicyName
+	}
+	p, ok := find[Policy](d, KindPolicy, name)
+	if !ok && name == DefaultPolicyName {
+		return DefaultPolicy(), true
+	}
+	return p, ok
+}
+
+// Route returns the route, and whether it exists.
+func (d *Document) Route(name string) (Route, bool) { return find[Route](d, KindRoute, name) }
+
+// UpstreamLabels returns the labels of the upstream with the id, and whether it has any.
+func (d *Document) UpstreamLabels(id string) (UpstreamLabels, bool) {
+	return find[UpstreamLabels](d, KindUpstreamLabels, id)
+}
+
+// Routes returns all routes, sorted by name.
+func (d *Document) Routes() []Route { return all[Route](d, KindRoute) }
+
+// Selectors returns all selectors, sorted by name.
+func (d *Document) Selectors() []Selector { return all[Selector](d, KindSelector) }
+
+// ProxyLabels returns the labels of a proxy: its own, overridden by those of its service, overridden by those
+// that operators put on its upstream.
+func (d *Document) ProxyLabels(own Labels, service, upstreamID string) Labels {
+	l := own
+	if s, ok := d.Service(service); ok {
+		l = l.With(s.Labels())
+	}
+	if u, ok := d.UpstreamLabels(upstreamID); ok {
+		l = l.With(u.Labels())
+	}
+	return l
+}
+
+func find[T Resource](d *Document, kind Kind, name string) (T, bool) {
+	r, ok := d.Get(kind, name)
+	if !ok {
+		var none T
+		return none, false
+	}
+	t, ok := r.(T)
+	return t, ok
+}
+
+func all[T Resource](d *Document, kind Kind) []T {
+	var list []T
+	start := sort.Search(len(d.resources), func(i int) bool { return d.resources[i].Kind() >= kind })
+	for _, r := range d.resources[start:] {
+		t, ok := r.(T)
+		if !ok {
+			break
+		}
+		list = append(list, t)
+	}
+	return list
+}
--- /dev/null
+++ b/baobabconfiguration/policy.go
@@ -0,0 +1,133 @@
+package baobabconfiguration
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// DefaultPolicyName is the name of the policy of routes that name none.
+const DefaultPolicyName = "default"
+
+// DefaultRankName is the rank of routes that name none.
+const DefaultRankName = "normal"
+
+// A Policy says how calls are ranked, queued, retried and quarantined.
+type Policy struct {
+	identity
+	ranks              []Rank // Sorted by priority.
+	retryBudgetPercent int
+	maxAttempts        int
+	queueLimit         int
+	callerFloorPercent int
+	quarantineAfter    int
+	quarantineTime     time.Duration
+}
+
+type policyJSON struct {
+	Ranks              []rankJSON   `json:"ranks"`
+	RetryBudgetPercent int          `json:"retry_budget_percent"`
+	MaxAttempts        int          `json:"max_attempts"`
+	QueueLimit         int          `json:"queue_limit"`
+	CallerFloorPercent int          `json:"caller_floor_percent"`
+	QuarantineAfter    int          `json:"quarantine_after"`
+	QuarantineTime     durationText `json:"quarantine_time"`
+}
+
+// defaultPolicyJSON returns the defaults. A retry budget of 10% keeps retries from adding more than a tenth to an
+// overload. 128 queued calls are about 20 per slot of the smallest current upstream (6 slots).
+func defaultPolicyJSON() policyJSON {
+	return policyJSON{
+		Ranks: []rankJSON{
+			{Name: "urgent", Priority: 0, FloorPercent: 20, Target: durationText(250 * time.Millisecond), Worth: 10},
+			{Name: DefaultRankName, Priority: 1, FloorPercent: 20, Target: durationText(time.Second), Worth: 3},
+			{Name: "deferrable", Priority: 2, FloorPercent: 10, Target: durationText(5 * time.Second), Worth: 1},
+		},
+		RetryBudgetPercent: 10,
+		MaxAttempts:        3,
+		QueueLimit:         128,
+		CallerFloorPercent: 10,
+		QuarantineAfter:    2,
+		QuarantineTime:     durationText(time.Minute),
+	}
+}
+
+var defaultPolicy = sync.OnceValue(func() Policy {
+	p, err := newPolicy(DefaultPolicyName, defaultPolicyJSON())
+	if err != nil {
+		panic(err) // Constants always encode.
+	}
+	return p
+})
+
+// DefaultPolicy returns the policy of routes that name none in a document without a policy of the default name.
+func DefaultPolicy() Policy { return defaultPolicy() }
+
+func parsePolicy(name string, text []byte) (Resource, error) {
+	j := defaultPolicyJSON()
+	defaults := j.Ranks
+	// Decoding into existing elements would mix the given ranks with the default ones.
+	j.Ranks = nil
+	if err := decodeFields(text, &j); err != nil {
+		return nil, err
+	}
+	if j.Ranks == nil {
+		j.Ranks = defaults
+	}
+	return newPolicy(name, j)
+}
+
+func newPolicy(name string, j policyJSON) (Policy, error) {
+	slices.SortStableFunc(j.Ranks, func(a, b rankJSON) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
+	})
+	p := Policy{
+		retryBudgetPercent: j.RetryBudgetPercent,
+		maxAttempts:        j.MaxAttempts,
+		queueLimit:         j.QueueLimit,
+		callerFloorPercent: j.CallerFloorPercent,
+		quarantineAfter:    j.QuarantineAfter,
+		quarantineTime:     time.Duration(j.QuarantineTime),
+	}
+	for _, r := range j.Ranks {
+		p.ranks = append(p.ranks, newRank(r))
+	}
+	var err error
+	p.identity, err = newIdentity(name, j)
+	return p, err
+}
+
+// Kind implements Resource.
+func (p Policy) Kind() Kind { return KindPolicy }
+
+// Ranks returns the ranks, the most urgent first; they must not be changed.
+func (p Policy) Ranks() []Rank { return p.ranks }
+
+// Rank returns the rank with the name, and whether it exists.
+func (p Policy) Rank(name string) (Rank, bool) {
+	for _, r := range p.ranks {
+		if r.name == name {
+			return r, true
+		}
+	}
+	return Rank{}, false
+}
+
+// RetryBudgetPercent returns the limit on retries as a share of calls.
+func (p Policy) RetryBudgetPercent() int { return p.retryBudgetPercent }
+
+// MaxAttempts returns how often a call may be sent, the first attempt included.
+func (p Policy) MaxAttempts() int { return p.maxAttempts }
+
+// QueueLimit returns how many calls may wait at one upstream.
+func (p Policy) QueueLimit() int { return p.queueLimit }
+
+// CallerFloorPercent returns the share of its rank that each caller keeps.
+func (p Policy) CallerFloorPercent() int { return p.callerFloorPercent }
+
+// QuarantineAfter returns the number of crashes after which a request is refused.
+func (p Policy) QuarantineAfter() int { return p.quarantineAfter }
+
+// QuarantineTime returns how long such a request is refused.
+func (p Policy) QuarantineTime() time.Duration { return p.quarantineTime }
