baobabpeer: authenticated pooled links with framed streams

Cause: nodes need one connection per peer, with mutual proof of the credentials, truncation that cannot pass as a complete body, and cancellation that reaches the other side.

Change: Transport with pooled links over yamux, shared key (HMAC-SHA256 over nonces of both sides) or TLS 1.3 certificates, framed streams, bounds and counters. Only the dialling side sends keepalives; both sides close a link on which nothing arrives for 3 intervals.

--- /dev/null
+++ b/baobabpeer/counters.go
@@ -0,0 +1,84 @@
+package baobabpeer
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// streamClass separates the bytes of calls from those of the control plane.
+type streamClass int32
+
+const (
+	classControl streamClass = iota
+	classCall
+)
+
+// Refusal reasons of links and streams, sorted.
+const (
+	refusedAccepted  = "accepted_links"
+	refusedHandshake = "handshake"
+	refusedLinks     = "links"
+	refusedMalformed = "malformed"
+	refusedOversize  = "oversize"
+	refusedProof     = "proof"
+	refusedStreams   = "streams"
+)
+
+// byteCounters count the traffic with one side of the failure domain's border.
+type byteCounters struct {
+	linkIn    *metrics.Counter // Everything on the connection, including handshakes and keepalives.
+	linkOut   *metrics.Counter
+	streamIn  [2]*metrics.Counter // Frames, by streamClass.
+	streamOut [2]*metrics.Counter
+}
+
+// counters hold all metrics of a transport.
+type counters struct {
+	set       *metrics.Set
+	bytes     map[string]*byteCounters // By "same" and "other".
+	dialled   *metrics.Counter
+	accepted  *metrics.Counter
+	evicted   *metrics.Counter
+	idle      *metrics.Counter
+	redialled *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	c := &counters{
+		set:       set,
+		bytes:     map[string]*byteCounters{},
+		dialled:   set.GetOrCreateCounter(`baobab_peer_links_opened_total{side="dialled"}`),
+		accepted:  set.GetOrCreateCounter(`baobab_peer_links_opened_total{side="accepted"}`),
+		evicted:   set.GetOrCreateCounter(`baobab_peer_links_closed_total{reason="evicted"}`),
+		idle:      set.GetOrCreateCounter(`baobab_peer_links_closed_total{reason="idle"}`),
+		redialled: set.GetOrCreateCounter(`baobab_peer_redials_total`),
+	}
+	for _, domain := range []string{"other", "same"} {
+		b := &byteCounters{
+			linkIn:  linkBytes(set, domain, "in"),
+			linkOut: linkBytes(set, domain, "out"),
+		}
+		for class, name := range []string{"control", "call"} {
+			b.streamIn[class] = streamBytes(set, domain, "in", name)
+			b.streamOut[class] = streamBytes(set, domain, "out", name)
+		}
+		c.bytes[domain] = b
+	}
+	return c
+}
+
+func linkBytes(set *metrics.Set, domain, direction string) *metrics.Counter {
+	const name = `baobab_peer_link_bytes_total{direction=%q,domain=%q}`
+	return set.GetOrCreateCounter(fmt.Sprintf(name, direction, domain))
+}
+
+func streamBytes(set *metrics.Set, domain, direction, class string) *metrics.Counter {
+	const name = `baobab_peer_stream_bytes_total{class=%q,direction=%q,domain=%q}`
+	return set.GetOrCreateCounter(fmt.Sprintf(name, class, direction, domain))
+}
+
+// refused counts a refused link or stream.
+func (c *counters) refused(reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`baobab_peer_refused_total{reason=%q}`, reason)).Inc()
+}
--- /dev/null
+++ b/baobabpeer/transport_test.go
@@ -0,0 +1,500 @@
+package baobabpeer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	wire "github.com/baobabdale/baobabdale/baobabwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testKey = []byte("a key of at least 16 bytes")
+
+func sharedKey(t testing.TB, key []byte) *SharedKey {
+	t.Helper()
+	k, err := NewSharedKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// serve starts a transport with a handler and returns it with its address.
+func serve(t testing.TB, c Credentials, h HandlerFunc, list ...Option) (*Transport, string) {
+	t.Helper()
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewTransport(c, list...)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(n, h) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		if err := <-done; err != nil {
+			t.Errorf("Serve() = %v after Close, want nil", err)
+		}
+	})
+	return s, n.Addr().String()
+}
+
+func client(t testing.TB, c Credentials, list ...Option) *Transport {
+	t.Helper()
+	p := NewTransport(c, list...)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func message(text string) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Error{Error: &wire.Error{Text: text}}}
+}
+
+func echo(_ context.Context, s *Stream) {
+	m, err := s.Receive()
+	if err == nil {
+		_ = s.Send(m)
+	}
+}
+
+// eventually waits for a condition with a generous limit.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("condition not reached: %s", what)
+}
+
+func refusals(t *Transport, reason string) uint64 {
+	return t.options.set.GetOrCreateCounter(fmt.Sprintf(`baobab_peer_refused_total{reason=%q}`, reason)).Get()
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind()
+	}
+	return ""
+}
+
+// TestConcurrentRequests guards against answers that reach the wrong caller.
+func TestConcurrentRequests(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), echo)
+	c := client(t, sharedKey(t, testKey))
+	var group sync.WaitGroup
+	for i := range 64 {
+		group.Go(func() {
+			for j := range 50 {
+				want := fmt.Sprintf("caller %d request %d %s", i, j, bytes.Repeat([]byte{'x'}, i*j))
+				got, err := c.Request(t.Context(), address, message(want))
+				if err != nil || got.GetError().GetText() != want {
+					t.Errorf("Request(%.30q) = %.30q, %v", want, got.GetError().GetText(), err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if dialled, _ := c.Links(); dialled != 1 {
+		t.Errorf("links = %d after concurrent requests to one address, want 1", dialled)
+	}
+	if n := c.counters.dialled.Get(); n != 1 {
+		t.Errorf("dials = %d, want 1 joined dial", n)
+	}
+}
+
+// TestConcurrentBodies guards against bodies that mix between streams, or arrive incomplete.
+func TestConcurrentBodies(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), func(_ context.Context, s *Stream) {
+		for {
+			b, end, err := s.ReceiveChunk()
+			if err != nil {
+				return
+			}
+			if end {
+				_ = s.SendEnd()
+				return
+			}
+			_ = s.SendChunk(b)
+		}
+	})
+	c := client(t, sharedKey(t, testKey))
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Go(func() {
+			s, err := c.Open(t.Context(), address)
+			if err != nil {
+				t.Errorf("Open() = %v", err)
+				return
+			}
+			defer s.Close()
+			body := bytes.Repeat([]byte{byte(i)}, 700_000+i)
+			go func() {
+				_ = s.SendChunk(body)
+				_ = s.SendEnd()
+			}()
+			var got []byte
+			for {
+				b, end, err := s.ReceiveChunk()
+				if err != nil {
+					t.Errorf("ReceiveChunk() = %v", err)
+					return
+				}
+				if end {
+					break
+				}
+				got = append(got, b...)
+			}
+			if !bytes.Equal(got, body) {
+				t.Errorf("body of stream %d differs: %d bytes, want %d", i, len(got), len(body))
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestRefusedLinks guards against links without proof of the same key, and against proofs that are replayed.
+func TestRefusedLinks(t *testing.T) {
+	s, address := serve(t, sharedKey(t, testKey), echo)
+
+	c := client(t, sharedKey(t, []byte("another key of 16 bytes")))
+	if _, err := c.Request(t.Context(), address, message("x")); kindOf(err) != KindRefused {
+		t.Errorf("Request() with a wrong key = %v, want kind refused", err)
+	}
+	if refusals(c, refusedProof) != 1 {
+		t.Errorf("refusals of the dialling side = %d, want 1", refusals(c, refusedProof))
+	}
+
+	// Record what a valid dialler sends, and send the same bytes again.
+	recorder := &recordingConn{}
+	valid := client(t, sharedKey(t, testKey), WithDial(func(_ context.Context, a string) (net.Conn, error) {
+		n, err := net.Dial("tcp", a)
+		recorder.Conn = n
+		return recorder, err
+	}))
+	if _, err := valid.Request(t.Context(), address, message("x")); err != nil {
+		t.Fatal(err)
+	}
+	_ = valid.Close()
+	n, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	before := refusals(s, refusedProof)
+	if _, err := n.Write(recorder.sent[:len(helloMagic)+nonceBytes+proofBytes]); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "replayed proof counted", func() bool { return refusals(s, refusedProof) == before+1 })
+	if _, accepted := s.Links(); accepted > 1 {
+		t.Errorf("accepted links = %d, want none by replay", accepted)
+	}
+}
+
+type recordingConn struct {
+	net.Conn
+	sent []byte
+}
+
+func (c *recordingConn) Write(b []byte) (int, error) {
+	c.sent = append(c.sent, b...)
+	return c.Conn.Write(b)
+}
+
+// TestTruncatedBody guards against a body that is passed on as complete although its end is missing.
+func TestTruncatedBody(t *testing.T) {
+	tests := []struct {
+		name   string
+		finish func(server *Transport, s *Stream)
+		want   error
+	}{
+		{"complete", func(_ *Transport, s *Stream) { _ = s.SendEnd() }, nil},
+		{"closed", func(*Transport, *Stream) {}, io.ErrUnexpectedEOF},
+		{"reset", func(_ *Transport, s *Stream) { s.Reset() }, errReset},
+		{"link lost", func(_ *Transport, s *Stream) { s.link.close() }, io.ErrUnexpectedEOF},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var server *Transport
+			server, address := serve(t, sharedKey(t, testKey), func(_ context.Context, s *Stream) {
+				_, _ = s.Receive()
+				_ = s.SendChunk([]byte("part"))
+				tt.finish(server, s)
+			})
+			s, err := client(t, sharedKey(t, testKey)).Open(t.Context(), address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			_ = s.Send(message("x"))
+			var end bool
+			for err == nil && !end {
+				_, end, err = s.ReceiveChunk()
+			}
+			if !errors.Is(err, tt.want) || end != (tt.want == nil) {
+				t.Errorf("ReceiveChunk() = end %v, %v, want error %v", end, err, tt.want)
+			}
+		})
+	}
+}
+
+// TestCancellation guards against handlers that go on working for callers that have gone.
+func TestCancellation(t *testing.T) {
+	tests := []struct {
+		name string
+		gone func(cancel func(), s *Stream, c *Transport, address string)
+	}{
+		{"context", func(cancel func(), _ *Stream, _ *Transport, _ string) { cancel() }},
+		{"close", func(_ func(), s *Stream, _ *Transport, _ string) { _ = s.Close() }},
+		{"link", func(_ func(), _ *Stream, c *Transport, address string) { c.CloseAddress(address) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			started, ended := make(chan struct{}), make(chan struct{})
+			_, address := serve(t, sharedKey(t, testKey), func(ctx context.Context, s *Stream) {
+				_, _ = s.Receive()
+				close(started)
+				<-ctx.Done()
+				close(ended)
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			c := client(t, sharedKey(t, testKey))
+			s, err := c.Open(ctx, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = s.Send(message("x"))
+			<-started
+			tt.gone(cancel, s, c, address)
+			<-ended
+			if _, err := s.Receive(); err == nil {
+				t.Error("Receive() succeeded after the stream ended")
+			}
+		})
+	}
+}
+
+// TestRequestDeadline guards against requests that outlive their context.
+func TestRequestDeadline(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), func(ctx context.Context, _ *Stream) { <-ctx.Done() })
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client(t, sharedKey(t, testKey)).Request(ctx, address, message("x"))
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("Request() = %v, want deadline exceeded", err)
+	}
+}
+
+// TestMalformedClosesOnlyItsLink guards against one bad node that disturbs the links of others.
+func TestMalformedClosesOnlyItsLink(t *testing.T) {
+	tests := []struct {
+		name   string
+		bytes  []byte
+		reason string
+	}{
+		{"type", []byte{9, 0, 0, 0, 0}, refusedMalformed},
+		{"message", []byte{1, 0, 0, 0, 2, 0xff, 0xff}, refusedMalformed},
+		{"size", []byte{1, 0xff, 0, 0, 0}, refusedOversize},
+		{"chunk size", []byte{2, 0, 1, 0, 0}, refusedOversize},
+	}
+	s, address := serve(t, sharedKey(t, testKey), func(ctx context.Context, s *Stream) {
+		if m, err := s.Receive(); err == nil {
+			_ = s.Send(m)
+		}
+		<-ctx.Done()
+	})
+	good := client(t, sharedKey(t, testKey))
+	kept, err := good.Open(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before := refusals(s, tt.reason)
+			bad := client(t, sharedKey(t, testKey))
+			b, err := bad.Open(t.Context(), address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer b.Close()
+			_ = b.write(tt.bytes)
+			if _, err := b.Receive(); err == nil {
+				t.Error("Receive() succeeded after a malformed frame")
+			}
+			eventually(t, "link closed", func() bool { n, _ := bad.Links(); return n == 0 })
+			if n := refusals(s, tt.reason) - before; n != 1 {
+				t.Errorf("refusals = %d, want 1", n)
+			}
+		})
+	}
+	_ = kept.Send(message("still here"))
+	if m, err := kept.Receive(); err != nil || m.GetError().GetText() != "still here" {
+		t.Errorf("Receive() on the other link = %v, %v", m, err)
+	}
+}
+
+// TestRedial guards against requests that fail because a pooled link has died.
+func TestRedial(t *testing.T) {
+	s, address := serve(t, sharedKey(t, testKey), echo)
+	c := client(t, sharedKey(t, testKey))
+	for range 3 {
+		if _, err := c.Request(t.Context(), address, message("x")); err != nil {
+			t.Fatalf("Request() = %v", err)
+		}
+		s.mu.Lock()
+		var links []*link
+		for l := range s.accepted {
+			links = append(links, l)
+		}
+		s.mu.Unlock()
+		for _, l := range links {
+			l.close()
+		}
+		eventually(t, "dead link dropped", func() bool { n, _ := c.Links(); return n == 0 })
+	}
+}
+
+// TestDeadPooledLink guards against a pooled link that ends between its lookup and the opening of the stream.
+func TestDeadPooledLink(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), echo)
+	c := client(t, sharedKey(t, testKey))
+	if _, err := c.Request(t.Context(), address, message("x")); err != nil {
+		t.Fatal(err)
+	}
+	c.mu.Lock()
+	dead := c.links[address]
+	c.mu.Unlock()
+	dead.close()
+	c.mu.Lock()
+	c.links[address] = dead
+	c.mu.Unlock()
+	if _, err := c.Request(t.Context(), address, message("x")); err != nil {
+		t.Errorf("Request() over a dead pooled link = %v, want a redial", err)
+	}
+}
+
+// TestBounds guards against links and streams without limit, and against idle links that stay open.
+func TestBounds(t *testing.T) {
+	release := make(chan struct{})
+	s, address := serve(t, sharedKey(t, testKey), func(ctx context.Context, s *Stream) {
+		m, err := s.Receive()
+		if err != nil {
+			return
+		}
+		_ = s.Send(m)
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+	}, WithMaxAccepted(2))
+	defer close(release)
+	toServer := WithDial(func(ctx context.Context, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	})
+	c := client(t, sharedKey(t, testKey), toServer, WithMaxLinks(2), WithMaxStreams(1),
+		WithIdleLimit(100*time.Millisecond))
+	first, err := c.Open(t.Context(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Open(t.Context(), "a"); kindOf(err) != KindLimit {
+		t.Errorf("second Open() = %v, want kind limit", err)
+	}
+	second, err := c.Open(t.Context(), "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Open(t.Context(), "c"); kindOf(err) != KindLimit {
+		t.Errorf("Open() beyond the links in use = %v, want kind limit", err)
+	}
+	other := client(t, sharedKey(t, testKey))
+	if _, err := other.Open(t.Context(), address); kindOf(err) != KindUnreachable {
+		t.Errorf("Open() beyond the accepted links = %v, want kind unreachable", err)
+	}
+	if refusals(s, refusedAccepted) == 0 {
+		t.Error("refused link is not counted")
+	}
+	_ = second.Close()
+	third, err := c.Open(t.Context(), "c")
+	for end := time.Now().Add(20 * time.Second); err != nil && time.Now().Before(end); {
+		third, err = c.Open(t.Context(), "c") // The server may not have noticed yet that the evicted link is closed.
+	}
+	if err != nil {
+		t.Fatalf("Open() that evicts an idle link = %v", err)
+	}
+	_ = first.Close()
+	_ = third.Close()
+	eventually(t, "idle links closed", func() bool { n, _ := c.Links(); return n == 0 })
+}
+
+// TestHalfOpenLink guards against a link on which the other side has silently disappeared.
+func TestHalfOpenLink(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), func(ctx context.Context, _ *Stream) { <-ctx.Done() })
+	var silent atomic.Bool
+	c := client(t, sharedKey(t, testKey), WithKeepAlive(50*time.Millisecond),
+		WithDial(func(_ context.Context, a string) (net.Conn, error) {
+			n, err := net.Dial("tcp", a)
+			return &silencedConn{Conn: n, silent: &silent}, err
+		}))
+	s, err := c.Open(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent.Store(true)
+	if _, err := s.Receive(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("Receive() on a half-open link = %v, want unexpected EOF", err)
+	}
+}
+
+// A silencedConn drops all traffic in both directions while it is silent.
+type silencedConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c *silencedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *silencedConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// TestByteCounters guards against traffic that is counted for the wrong class or failure domain.
+func TestByteCounters(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), echo)
+	c := client(t, sharedKey(t, testKey), WithSameDomain(func(a string) bool { return a != address }))
+	call := &wire.Envelope{Body: &wire.Envelope_Call{Call: &wire.Call{Id: "1"}}}
+	if _, err := c.Request(t.Context(), address, call); err != nil {
+		t.Fatal(err)
+	}
+	other, same := c.counters.bytes["other"], c.counters.bytes["same"]
+	if other.streamOut[classCall].Get() == 0 || other.streamIn[classCall].Get() == 0 || other.linkOut.Get() == 0 {
+		t.Error("bytes of a call to another failure domain are not counted")
+	}
+	if n := other.streamOut[classControl].Get() + same.streamOut[classCall].Get() + same.linkOut.Get(); n != 0 {
+		t.Errorf("%d bytes are counted for the wrong class or failure domain", n)
+	}
+}
