upstream: announcements, probes and the client of the local upstream

Cause: a node must know its local upstream and hand it calls so that "not sent" is certain, a call is never sent twice, and no call gets another call's answer.

Change: Registry keeps the announcement (3 s without heartbeat: failed; late heartbeats after leaving are refused). Evidence lets probes count only without recent live calls. Client counts the bytes handed to each connection and seals a failed one, so NotSent is known and not guessed; its request body cannot be read again, so http.Transport does not resend. An answer that carries the id of an earlier call on the same connection is discarded. An answer without length or chunks counts as truncated, because its end cannot be told from a cut.

Ruled out: own connection pool in place of http.Transport; the Transport's resend rules depend only on the body, the method and one header, which the client controls.

--- /dev/null
+++ b/baobabupstream/client.go
@@ -0,0 +1,219 @@
+package baobabupstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// Header fields between the mesh and upstreams.
+const (
+	headerCallID         = "Baobab-Call-Id"
+	headerCaller         = "Baobab-Caller"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerNotStarted     = "Baobab-Not-Started"
+	headerRank           = "Baobab-Rank"
+	headerRetried        = "Baobab-Retried"
+	headerTimeout        = "Baobab-Timeout-Ms"
+)
+
+const (
+	// probeConnections of the upstream's connections are kept for the prober.
+	probeConnections = 1
+	// staleAttempts bounds how many idle connections that the upstream has closed a call passes over.
+	staleAttempts       = 4
+	dialTimeout         = time.Second
+	idleConnectionLimit = 30 * time.Second
+	maxAnswerHeader     = 64 << 10
+	refusalBytes        = 64 << 10
+)
+
+var (
+	errCrossed     = errors.New("answer carries the id of another call")
+	errSwitch      = errors.New("upstream switched protocols without request")
+	errStaleClosed = errors.New("idle connections were closed by the upstream")
+)
+
+// A Client hands calls to one upstream over at most as many connections as it accepts. It never sends a call twice.
+// It is safe for concurrent use.
+type Client struct {
+	address   string
+	transport *http.Transport
+}
+
+// NewClient returns a client for the upstream at address, which accepts the given number of connections.
+func NewClient(address string, connections int) *Client {
+	limit := max(connections-probeConnections, 1)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &connection{Conn: conn}, nil
+	}
+	return &Client{address: address, transport: &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnectionLimit,
+		MaxConnsPerHost:        limit,
+		MaxIdleConnsPerHost:    limit,
+		MaxIdleConns:           limit,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+	}}
+}
+
+// Close closes idle connections. Calls in progress end normally.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do hands the call to the upstream and returns when the answer's header has arrived or the call has failed. The
+// deadline and the end of ctx cancel the call, also while its answer is read. The reader of an answer must close
+// its body.
+func (c *Client) Do(ctx context.Context, now time.Time, k *call.Call, deadline time.Time) Result {
+	remaining := deadline.Sub(now)
+	if remaining <= 0 {
+		return DeadlineReached{}
+	}
+	target, err := url.ParseRequestURI(k.Target())
+	if err != nil {
+		return NotSent{err: err}
+	}
+	target.Scheme, target.Host = "http", c.address
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	start := time.Now()
+	for range staleAttempts {
+		result, stale := c.send(ctx, cancel, k, target, remaining-time.Since(start))
+		if !stale {
+			return result
+		}
+	}
+	cancel()
+	return NotSent{err: errStaleClosed}
+}
+
+// send makes one attempt. It reports stale when an idle connection turned out to be closed before any byte was sent.
+func (c *Client) send(ctx context.Context, cancel context.CancelFunc, k *call.Call, target *url.URL, remaining time.Duration) (result Result, stale bool) {
+	a := &attempt{callID: k.ID()}
+	request := newRequest(httptrace.WithClientTrace(ctx, a.trace()), k, target, remaining)
+	response, err := c.transport.RoundTrip(request) //nolint:bodyclose // The reader of the answer closes it.
+	if err != nil {
+		sent := a.sent()
+		if ctx.Err() == nil && !sent && a.onReusedConnection() {
+			return nil, true
+		}
+		result = failed(ctx, err, sent, a.onReusedConnection())
+		cancel()
+		return result, false
+	}
+	return accepted(ctx, cancel, response, a), false
+}
+
+func failed(ctx context.Context, err error, sent, reused bool) Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return DeadlineReached{sent: sent}
+	case ctx.Err() != nil:
+		return Cancelled{sent: sent}
+	case !sent:
+		return NotSent{err: err}
+	default:
+		return Died{err: err, reused: reused}
+	}
+}
+
+// accepted classifies a response whose header has arrived.
+func accepted(ctx context.Context, cancel context.CancelFunc, response *http.Response, a *attempt) Result {
+	body := &answerBody{body: response.Body, ctx: ctx, cancel: cancel, unbounded: endsWithConnection(response)}
+	if err := violation(response, a); err != nil {
+		a.sent()
+		_ = body.Close()
+		return Died{err: err, reused: a.onReusedConnection()}
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerNotStarted) == "1" {
+		// The rest is read so that the connection can be used again.
+		_, _ = io.CopyN(io.Discard, body, refusalBytes)
+		_ = body.Close()
+		return Refused{retryAfter: retryAfter(response.Header)}
+	}
+	return &Answered{answer: call.NewAnswer(response.StatusCode, response.Header, body), body: body}
+}
+
+// violation returns why the response cannot be the answer to the call, or nil.
+func violation(response *http.Response, a *attempt) error {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return errSwitch
+	}
+	// An upstream that sends two answers to one request leaves the second on the connection for the next call.
+	// Only ids of this connection count, because an upstream may pass on the header of a call that it made itself.
+	if a.crossed(response.Header.Get(headerCallID)) {
+		return errCrossed
+	}
+	return nil
+}
+
+// endsWithConnection reports whether the answer has neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+func newRequest(ctx context.Context, k *call.Call, target *url.URL, remaining time.Duration) *http.Request {
+	request := &http.Request{
+		Method:        k.Method(),
+		URL:           target,
+		Host:          k.Host(),
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        requestHeader(k, remaining),
+		Body:          requestBody{r: bytes.NewReader(k.Body())},
+		ContentLength: int64(len(k.Body())),
+	}
+	return request.WithContext(ctx)
+}
+
+func requestHeader(k *call.Call, remaining time.Duration) http.Header {
+	h := k.Header().Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set(headerCallID, k.ID())
+	h.Set(headerCaller, k.Caller())
+	// Rounded up, because zero would mean no time at all.
+	h.Set(headerTimeout, strconv.FormatInt(int64((remaining+time.Millisecond-1)/time.Millisecond), 10))
+	setOrDelete(h, headerRank, k.Rank())
+	setOrDelete(h, headerIdempotencyKey, k.IdempotencyKey())
+	h.Del(headerRetried)
+	if k.Retried() {
+		h.Set(headerRetried, "1")
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		// An explicit empty value keeps the library from adding its own.
+		h.Set("User-Agent", "")
+	}
+	return h
+}
+
+func setOrDelete(h http.Header, name, value string) {
+	if value == "" {
+		h.Del(name)
+		return
+	}
+	h.Set(name, value)
+}
--- /dev/null
+++ b/baobabupstream/main_test.go
@@ -0,0 +1,9 @@
+package baobabupstream
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/baobabupstream/registry.go
@@ -0,0 +1,135 @@
+package baobabupstream
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	defaultHeartbeatLimit = 3 * time.Second
+	// startJitter is how much the start time may move between heartbeats of the same process: it is announced as
+	// an age, so it varies with the delay of the request.
+	startJitter = 2 * time.Second
+)
+
+// A Registry holds the announcement of the local upstream. It is safe for concurrent use.
+type Registry struct {
+	heartbeatLimit time.Duration
+	changed        chan struct{}
+
+	mu       sync.Mutex
+	current  Announcement
+	state    State // Empty: nothing is announced.
+	heardAt  time.Time
+	leftID   string // The upstream that left last; its late heartbeats are refused.
+	leftTime time.Time
+}
+
+// RegistryOption sets an optional property of a Registry.
+type RegistryOption func(*Registry)
+
+// WithHeartbeatLimit sets after what time without a heartbeat the upstream counts as failed.
+func WithHeartbeatLimit(d time.Duration) RegistryOption {
+	return func(r *Registry) { r.heartbeatLimit = d }
+}
+
+// NewRegistry returns a registry without an upstream.
+func NewRegistry(options ...RegistryOption) *Registry {
+	r := &Registry{heartbeatLimit: defaultHeartbeatLimit, changed: make(chan struct{}, 1)}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// Changed receives a value after the announcement or the state has changed. Several changes may give one value.
+func (r *Registry) Changed() <-chan struct{} { return r.changed }
+
+// Announce takes an announcement or heartbeat. Errors have KindConflict or KindGone.
+func (r *Registry) Announce(now time.Time, a Announcement) error {
+	const operation = "announce upstream"
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.upstreamID == r.leftID && !a.startedAt.After(r.leftTime) {
+		return newError(operation, KindGone, "upstream %s has left", a.upstreamID)
+	}
+	if r.heldByOther(now, a) {
+		return newError(operation, KindConflict, "upstream %s is announced and alive", r.current.upstreamID)
+	}
+	if r.sameProcess(a) {
+		a.startedAt = r.current.startedAt
+	}
+	same := r.state == a.state && a.sameAs(r.current) && a.startedAt.Equal(r.current.startedAt)
+	r.current, r.state, r.heardAt = a, a.state, now
+	if !same {
+		r.notify()
+	}
+	return nil
+}
+
+// heldByOther reports whether a live upstream other than a is announced. An upstream at the same address has
+// replaced the former one, because two processes cannot listen there.
+func (r *Registry) heldByOther(now time.Time, a Announcement) bool {
+	if r.state == "" || r.current.upstreamID == a.upstreamID || r.current.address == a.address {
+		return false
+	}
+	return r.state.TakesCalls() && now.Sub(r.heardAt) < r.heartbeatLimit
+}
+
+func (r *Registry) sameProcess(a Announcement) bool {
+	return r.state != "" && a.upstreamID == r.current.upstreamID &&
+		a.startedAt.Sub(r.current.startedAt).Abs() < startJitter
+}
+
+// Leave removes the upstream. It reports whether the upstream was announced.
+func (r *Registry) Leave(now time.Time, upstreamID string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == "" || r.current.upstreamID != upstreamID {
+		return false
+	}
+	r.leftID, r.leftTime = upstreamID, now
+	r.current, r.state = Announcement{}, ""
+	r.notify()
+	return true
+}
+
+// Fail marks the upstream as failed until its next heartbeat, for example when its address refuses connections.
+func (r *Registry) Fail(upstreamID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current.upstreamID == upstreamID {
+		r.fail()
+	}
+}
+
+// Expire marks the upstream as failed when its heartbeats are missing. Call it several times per second.
+func (r *Registry) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.heardAt) >= r.heartbeatLimit {
+		r.fail()
+	}
+}
+
+func (r *Registry) fail() {
+	if r.state == "" || r.state == StateFailed {
+		return
+	}
+	r.state = StateFailed
+	r.notify()
+}
+
+// Current returns the announcement and the state of the upstream; false when none is announced.
+func (r *Registry) Current() (Announcement, State, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current, r.state, r.state != ""
+}
+
+func (r *Registry) notify() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/baobabupstream/registry_test.go
@@ -0,0 +1,211 @@
+package baobabupstream
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func announced(t testing.TB, now time.Time, id, address string, state State, age time.Duration) Announcement {
+	t.Helper()
+	b, _ := json.Marshal(announcementJSON{
+		UpstreamID: id, Service: "quotes", Address: address, Slots: 6, Connections: 130, State: state,
+		Labels: map[string]string{"tier": "1"}, StartedMsAgo: age.Milliseconds(),
+	})
+	a, err := ParseAnnouncement(now, strings.NewReader(string(b)))
+	if err != nil {
+		t.Fatalf("ParseAnnouncement: %v", err)
+	}
+	return a
+}
+
+func kindOf(err error) Kind {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.Kind()
+	}
+	return ""
+}
+
+func changed(r *Registry) bool {
+	select {
+	case <-r.Changed():
+		return true
+	default:
+		return false
+	}
+}
+
+// TestRegistryLifecycle guards against an upstream that is used without heartbeats or after it left, and against
+// notifications without a change.
+func TestRegistryLifecycle(t *testing.T) {
+	const a, b = "127.0.0.1:1", "127.0.0.1:2"
+	r := NewRegistry()
+	steps := []struct {
+		at     time.Duration
+		name   string
+		do     func(now time.Time) error
+		kind   Kind
+		state  State
+		change bool
+	}{
+		{0, "first", func(n time.Time) error { return r.Announce(n, announced(t, n, "u1", a, StateWarming, 0)) }, "", StateWarming, true},
+		{time.Second, "heartbeat with jitter", func(n time.Time) error {
+			return r.Announce(n, announced(t, n, "u1", a, StateWarming, 900*time.Millisecond))
+		}, "", StateWarming, false},
+		{2 * time.Second, "ready", func(n time.Time) error { return r.Announce(n, announced(t, n, "u1", a, StateReady, 2*time.Second)) }, "", StateReady, true},
+		{3 * time.Second, "other upstream", func(n time.Time) error { return r.Announce(n, announced(t, n, "u2", b, StateReady, 0)) }, KindConflict, StateReady, false},
+		{4999 * time.Millisecond, "not yet expired", func(n time.Time) error { r.Expire(n); return nil }, "", StateReady, false},
+		{5 * time.Second, "expired", func(n time.Time) error { r.Expire(n); return nil }, "", StateFailed, true},
+		{6 * time.Second, "other upstream after failure", func(n time.Time) error { return r.Announce(n, announced(t, n, "u2", b, StateReady, 0)) }, "", StateReady, true},
+		{6 * time.Second, "same address, new process", func(n time.Time) error { return r.Announce(n, announced(t, n, "u3", b, StateReady, 0)) }, "", StateReady, true},
+		{7 * time.Second, "failed by a call", func(time.Time) error { r.Fail("u3"); return nil }, "", StateFailed, true},
+		{8 * time.Second, "heartbeat after failure", func(n time.Time) error { return r.Announce(n, announced(t, n, "u3", b, StateReady, 2*time.Second)) }, "", StateReady, true},
+		{9 * time.Second, "draining", func(n time.Time) error {
+			return r.Announce(n, announced(t, n, "u3", b, StateDraining, 3*time.Second))
+		}, "", StateDraining, true},
+		{10 * time.Second, "leaves", func(n time.Time) error { r.Leave(n, "u3"); return nil }, "", "", true},
+		{10 * time.Second, "late heartbeat", func(n time.Time) error { return r.Announce(n, announced(t, n, "u3", b, StateReady, 4*time.Second)) }, KindGone, "", false},
+		{12 * time.Second, "restart under the same id", func(n time.Time) error { return r.Announce(n, announced(t, n, "u3", b, StateReady, time.Second)) }, "", StateReady, true},
+	}
+	for _, s := range steps {
+		err := s.do(start.Add(s.at))
+		if kindOf(err) != s.kind {
+			t.Errorf("%s: error %v, want kind %q", s.name, err, s.kind)
+		}
+		if _, state, _ := r.Current(); state != s.state {
+			t.Errorf("%s: state %q, want %q", s.name, state, s.state)
+		}
+		if got := changed(r); got != s.change {
+			t.Errorf("%s: changed = %v, want %v", s.name, got, s.change)
+		}
+	}
+}
+
+// TestRegistryNeverServesSilent guards against an upstream that takes calls although its heartbeats are missing.
+func TestRegistryNeverServesSilent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRegistry()
+		now, heard := start, start.Add(-time.Hour)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "heartbeat") {
+				a := Announcement{upstreamID: "u", service: "s", address: "127.0.0.1:1", state: StateReady, startedAt: start}
+				if r.Announce(now, a) == nil {
+					heard = now
+				}
+			}
+			r.Expire(now)
+			if _, state, _ := r.Current(); state.TakesCalls() && now.Sub(heard) >= defaultHeartbeatLimit {
+				t.Fatalf("state %s at %v after the last heartbeat", state, now.Sub(heard))
+			}
+		}
+	})
+}
+
+// TestAnnouncements guards against malformed announcements that are taken, and wrong status codes.
+func TestAnnouncements(t *testing.T) {
+	server := httptest.NewServer(NewAnnouncements(NewRegistry()))
+	defer server.Close()
+	defer http.DefaultClient.CloseIdleConnections()
+	const good = `{"upstream_id":"u1","service":"s","address":"127.0.0.1:1","slots":6,"connections":130,"labels":{},"state":"ready","started_ms_ago":5}`
+	tests := []struct {
+		name, method, path, body string
+		want                     int
+	}{
+		{"good", "POST", "/v1/announce", good, 204},
+		{"unknown field", "POST", "/v1/announce", `{"slot":1}`, 400},
+		{"host name", "POST", "/v1/announce", strings.Replace(good, "127.0.0.1", "localhost", 1), 400},
+		{"no slots", "POST", "/v1/announce", strings.Replace(good, `"slots":6`, `"slots":0`, 1), 400},
+		{"failed state", "POST", "/v1/announce", strings.Replace(good, "ready", "failed", 1), 400},
+		{"negative age", "POST", "/v1/announce", strings.Replace(good, ":5", ":-5", 1), 400},
+		{"too large", "POST", "/v1/announce", `{"service":"` + strings.Repeat("a", maxAnnouncementBytes) + `"}`, 400},
+		{"other", "POST", "/v1/announce", strings.NewReplacer("u1", "u2", "0.1:1", "0.1:2").Replace(good), 409},
+		{"leave unknown", "DELETE", "/v1/announce?upstream_id=u2", "", 404},
+		{"leave", "DELETE", "/v1/announce?upstream_id=u1", "", 204},
+		{"late", "POST", "/v1/announce", strings.Replace(good, ":5}", ":50000}", 1), 410},
+		{"other path", "POST", "/v1/other", good, 404},
+	}
+	for _, tt := range tests {
+		request, _ := http.NewRequest(tt.method, server.URL+tt.path, strings.NewReader(tt.body))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatalf("%s: %v", tt.name, err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != tt.want {
+			t.Errorf("%s: status %d (%s), want %d", tt.name, response.StatusCode, text, tt.want)
+		}
+	}
+}
+
+// TestEvidence guards against a misleading health endpoint that takes out an upstream which answers live calls, or
+// keeps in one which fails them.
+func TestEvidence(t *testing.T) {
+	e := NewEvidence()
+	for i := range 100 {
+		e.Live(start, true)
+		e.Probe(false)
+		if !e.Usable(start.Add(liveWindow - 1)) {
+			t.Fatalf("probe %d outvotes a live answer", i)
+		}
+	}
+	if e.Usable(start.Add(liveWindow)) {
+		t.Error("usable without live evidence although probes fail")
+	}
+	for range liveFailures {
+		e.Live(start, false)
+	}
+	e.Probe(true)
+	if e.Usable(start) {
+		t.Error("a probe outvotes failing live calls")
+	}
+	if !e.Usable(start.Add(liveWindow)) {
+		t.Error("not usable again although probes succeed and the live evidence is old")
+	}
+}
+
+// TestProber guards against hints that are lost when an endpoint hangs, misleads or answers nonsense.
+func TestProber(t *testing.T) {
+	tests := []struct {
+		name, load string
+		health     int
+		want       string
+	}{
+		{"good", `{"in_flight":3,"queued":2}`, 200, "true 3 2 true"},
+		{"unhealthy", `{"in_flight":3,"queued":2}`, 503, "false 3 2 true"},
+		{"nonsense", `{"in_flight":-3}`, 200, "true 0 0 false"},
+		{"hangs", "", 200, "true 0 0 false"},
+	}
+	for _, tt := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/health" {
+				w.WriteHeader(tt.health)
+				return
+			}
+			if tt.load == "" {
+				<-r.Context().Done()
+			}
+			_, _ = io.WriteString(w, tt.load)
+		}))
+		hints := make(chan Hint, 100)
+		p := NewProber(server.Listener.Addr().String(), func(h Hint) { hints <- h }, WithProbeInterval(time.Millisecond), WithProbeTimeout(time.Second))
+		h := <-hints
+		inFlight, queued, ok := h.Load()
+		if got := fmt.Sprint(h.Healthy(), inFlight, queued, ok); got != tt.want || h.At().IsZero() {
+			t.Errorf("%s: hint = %s, want %s", tt.name, got, tt.want)
+		}
+		p.Stop()
+		server.Close()
+	}
+}
--- /dev/null
+++ b/baobabupstream/state.go
@@ -0,0 +1,17 @@
+package baobabupstream
+
+// State is the state of the local upstream.
+type State string
+
+// States of an upstream. Upstreams announce all but StateFailed.
+const (
+	StateWarming  State = "warming"  // Started recently; gets a share that grows.
+	StateReady    State = "ready"    // Takes calls.
+	StateDraining State = "draining" // Takes no new calls; finishes those in progress.
+	StateFailed   State = "failed"   // Its heartbeats are missing.
+)
+
+// TakesCalls reports whether an upstream in this state may get new calls.
+func (s State) TakesCalls() bool { return s == StateWarming || s == StateReady }
+
+func (s State) announceable() bool { return s.TakesCalls() || s == StateDraining }
