--- a/baobabupstream/body.go
+++ b/baobabupstream/body.go
@@ -38,6 +38,8 @@
 func (b *answerBody) fail(err error) {
 	if cause := b.ctx.Err(); cause != nil {
 		err = cause
+	} else if deadlineOver(b.ctx) {
+		err = context.DeadlineExceeded
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/baobabupstream/client.go
+++ b/baobabupstream/client.go
@@ -119,7 +119,7 @@
 
 func failed(ctx context.Context, err error, sent, reused bool) Result {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case deadlineOver(ctx):
 		return DeadlineReached{sent: sent}
 	case ctx.Err() != nil:
 		return Cancelled{sent: sent}
@@ -130,6 +130,16 @@
 	}
 }
 
+// deadlineOver reports whether the call's time is over. It reads the clock, because an upstream that keeps the
+// deadline may end the connection before the context's timer has run, which is not a crash.
+func deadlineOver(ctx context.Context) bool {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return true
+	}
+	deadline, ok := ctx.Deadline()
+	return ok && ctx.Err() == nil && !time.Now().Before(deadline)
+}
+
 // accepted classifies a response whose header has arrived.
 func accepted(ctx context.Context, cancel context.CancelFunc, response *http.Response, a *attempt) Result {
 	body := &answerBody{body: response.Body, ctx: ctx, cancel: cancel, unbounded: endsWithConnection(response)}
