baobabcommand: the command line

Cause: operators need every part of the mesh from one program, with exit codes that scripts can rely on, and two operators who edit the same labels must not lose an edit.

Change: one file per command on go-arg, run against injected writers, files and environment. Every set is read-modify-write by compare-and-set on the revision; a conflict shows the newer value and ends with exit code 3. Exit code 4 means that nothing was changed by the request; an unknown outcome is exit code 1, so that scripts do not take it for 4.

baobaboperator: an empty diff has empty lists in JSON, and a version without digest prints as its number. baobabsettings: node labels have the form that the selectors of baobabconfiguration match.

Conclusion: the command line needs only RunNode.

--- a/baobabcommand/command.go
+++ b/baobabcommand/command.go
@@ -1,6 +1,13 @@
 // Package baobabcommand is the command line of baobabdale.
 package baobabcommand
 
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
 // Exit codes.
 const (
 	ExitDone        = 0
@@ -11,7 +18,10 @@
 	ExitRejected    = 5
 )
 
-// Main runs the command line and returns the exit code.
-func Main(_ []string) int {
-	return ExitUsage
+// Main runs the command line and returns the exit code. SIGINT and SIGTERM end the command gracefully.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	a := &app{out: os.Stdout, err: os.Stderr, getenv: os.Getenv, readFile: os.ReadFile, runNode: RunNode}
+	return a.main(ctx, args)
 }
--- /dev/null
+++ b/baobabcommand/help_test.go
@@ -0,0 +1,33 @@
+package baobabcommand
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestHelp guards against options, arguments and commands without a help text, and commands that cannot run.
+func TestHelp(t *testing.T) {
+	checkHelp(t, "baobabdale", reflect.TypeFor[arguments]())
+}
+
+func checkHelp(t *testing.T, path string, group reflect.Type) {
+	commands := 0
+	for _, f := range reflect.VisibleFields(group) {
+		if f.Anonymous {
+			continue
+		}
+		if f.Tag.Get("help") == "" {
+			t.Errorf("%s: %s has no help text", path, f.Name)
+		}
+		name, ok := strings.CutPrefix(f.Tag.Get("arg"), "subcommand:")
+		if !ok {
+			continue
+		}
+		commands++
+		checkHelp(t, path+" "+name, f.Type.Elem())
+	}
+	if _, ok := reflect.New(group).Interface().(command); !ok && commands == 0 {
+		t.Errorf("%s can neither be run nor has commands", path)
+	}
+}
--- /dev/null
+++ b/baobabcommand/labelcmd.go
@@ -0,0 +1,154 @@
+package baobabcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/baobabdale/baobabdale/baobaboperator"
+)
+
+// labelGroup holds the commands about labels.
+type labelGroup struct {
+	Delete *labelDeleteCommand `arg:"subcommand:delete" help:"delete labels of a service or upstream"`
+	List   *labelListCommand   `arg:"subcommand:list" help:"list the labels of services and upstreams"`
+	Set    *labelSetCommand    `arg:"subcommand:set" help:"set labels of a service or upstream"`
+}
+
+type labelSetCommand struct {
+	Target string   `arg:"positional,required" help:"service/NAME or upstream/NAME"`
+	Labels []string `arg:"positional,required" placeholder:"KEY=VALUE" help:"labels to set; other labels stay"`
+	editOptions
+}
+
+func (c *labelSetCommand) run(ctx context.Context, a *app) error {
+	labels, err := parsePairs(c.Labels)
+	if err != nil {
+		return err
+	}
+	kind, name, err := parseLabelTarget(c.Target)
+	if err != nil {
+		return err
+	}
+	return edit{
+		kind: kind, name: name, expect: c.Expect, mustExist: kind == baobaboperator.KindService,
+		change: func(f fields) error {
+			setPairs(f.pairs("labels"), labels)
+			return nil
+		},
+	}.run(ctx, a)
+}
+
+type labelDeleteCommand struct {
+	Target string   `arg:"positional,required" help:"service/NAME or upstream/NAME"`
+	Keys   []string `arg:"positional,required" placeholder:"KEY" help:"labels to delete"`
+	editOptions
+}
+
+func (c *labelDeleteCommand) run(ctx context.Context, a *app) error {
+	kind, name, err := parseLabelTarget(c.Target)
+	if err != nil {
+		return err
+	}
+	return edit{
+		kind: kind, name: name, expect: c.Expect, mustExist: true,
+		change: func(f fields) error {
+			labels := f.pairs("labels")
+			for _, key := range c.Keys {
+				delete(labels, key)
+			}
+			return nil
+		},
+	}.run(ctx, a)
+}
+
+type labelListCommand struct {
+	Target string `arg:"positional" help:"service/NAME or upstream/NAME; without it, all are listed"`
+}
+
+// labelled is a service or upstream with its labels.
+type labelled struct {
+	Target   string            `json:"target"`
+	Revision uint64            `json:"revision"`
+	Labels   map[string]string `json:"labels"`
+}
+
+func (c *labelListCommand) run(ctx context.Context, a *app) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := a.request(ctx)
+	defer cancel()
+	resources, err := c.read(ctx, client)
+	if err != nil {
+		return err
+	}
+	list := []labelled{}
+	rows := [][]string{{"TARGET", "REVISION", "LABELS"}}
+	for _, r := range resources {
+		l, err := newLabelled(r)
+		if err != nil {
+			return err
+		}
+		list = append(list, l)
+		rows = append(rows, []string{l.Target, fmt.Sprint(l.Revision), formatPairs(l.Labels)})
+	}
+	return a.print(list, formatTable(rows))
+}
+
+func (c *labelListCommand) read(ctx context.Context, client *baobaboperator.Client) ([]baobaboperator.Resource, error) {
+	if c.Target != "" {
+		kind, name, err := parseLabelTarget(c.Target)
+		if err != nil {
+			return nil, err
+		}
+		r, err := client.GetResource(ctx, kind, name)
+		return []baobaboperator.Resource{r}, err
+	}
+	services, err := client.ListResources(ctx, baobaboperator.KindService)
+	if err != nil {
+		return nil, err
+	}
+	upstreams, err := client.ListResources(ctx, baobaboperator.KindUpstreamLabels)
+	return append(services, upstreams...), err
+}
+
+func newLabelled(r baobaboperator.Resource) (labelled, error) {
+	l := labelled{Target: "service/" + r.Name, Revision: r.Revision}
+	if r.Kind == baobaboperator.KindUpstreamLabels {
+		l.Target = "upstream/" + r.Name
+	}
+	var text struct {
+		Labels map[string]string `json:"labels"`
+	}
+	if err := json.Unmarshal(r.Text, &text); err != nil {
+		return l, fmt.Errorf("decode labels of %s: %w", l.Target, err)
+	}
+	l.Labels = text.Labels
+	return l, nil
+}
+
+// parseLabelTarget reads service/NAME or upstream/NAME.
+func parseLabelTarget(target string) (baobaboperator.Kind, string, error) {
+	kind, name, _ := strings.Cut(target, "/")
+	if name != "" && kind == "service" {
+		return baobaboperator.KindService, name, nil
+	}
+	if name != "" && kind == "upstream" {
+		return baobaboperator.KindUpstreamLabels, name, nil
+	}
+	return "", "", usagef("%q is not service/NAME or upstream/NAME", target)
+}
+
+func formatPairs(pairs map[string]string) string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(pairs)) {
+		parts = append(parts, key+"="+pairs[key])
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/baobabcommand/policycmd.go
@@ -0,0 +1,134 @@
+package baobabcommand
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/baobabdale/baobabdale/baobaboperator"
+)
+
+// policyGroup holds the commands about policies.
+type policyGroup struct {
+	Delete *policyDeleteCommand `arg:"subcommand:delete" help:"delete a policy"`
+	List   *policyListCommand   `arg:"subcommand:list" help:"list all policies"`
+	Set    *policySetCommand    `arg:"subcommand:set" help:"create or change a policy"`
+	Show   *policyShowCommand   `arg:"subcommand:show" help:"show a policy"`
+}
+
+type policyDeleteCommand struct{ deleteOptions }
+
+func (c *policyDeleteCommand) run(ctx context.Context, a *app) error {
+	return c.deleteResource(ctx, a, baobaboperator.KindPolicy)
+}
+
+type policyListCommand struct{}
+
+func (*policyListCommand) run(ctx context.Context, a *app) error {
+	return a.listResources(ctx, baobaboperator.KindPolicy)
+}
+
+type policyShowCommand struct{ showOptions }
+
+func (c *policyShowCommand) run(ctx context.Context, a *app) error {
+	return c.showResource(ctx, a, baobaboperator.KindPolicy)
+}
+
+type policySetCommand struct {
+	Name               string         `arg:"positional,required" help:"name of the policy"`
+	Ranks              []string       `arg:"--rank,separate" placeholder:"FIELDS" help:"rank to add or change, such as name=urgent,priority=1,floor_percent=40,target=50ms,worth=10; repeat it for more"`
+	RemovedRanks       []string       `arg:"--remove-rank,separate" placeholder:"NAME" help:"rank to remove; repeat it for more"`
+	RetryBudgetPercent *int           `arg:"--retry-budget-percent" placeholder:"N" help:"retries allowed, as a share of calls"`
+	MaxAttempts        *int           `arg:"--max-attempts" placeholder:"N" help:"most attempts of one call"`
+	QueueLimit         *int           `arg:"--queue-limit" placeholder:"N" help:"most calls that wait at one upstream"`
+	CallerFloorPercent *int           `arg:"--caller-floor-percent" placeholder:"N" help:"share of a rank that one caller keeps while others overload it"`
+	QuarantineAfter    *int           `arg:"--quarantine-after" placeholder:"N" help:"crashes after which a request is quarantined"`
+	QuarantineTime     *time.Duration `arg:"--quarantine-time" placeholder:"DURATION" help:"how long a request is quarantined"`
+	File               string         `arg:"--file" placeholder:"FILE" help:"JSON text that replaces the policy before the other options are set"`
+	editOptions
+}
+
+func (c *policySetCommand) run(ctx context.Context, a *app) error {
+	return edit{
+		kind: baobaboperator.KindPolicy, name: c.Name, expect: c.Expect, file: c.File,
+		change: func(f fields) error {
+			if err := c.changeRanks(f); err != nil {
+				return err
+			}
+			set(f, "retry_budget_percent", c.RetryBudgetPercent)
+			set(f, "max_attempts", c.MaxAttempts)
+			set(f, "queue_limit", c.QueueLimit)
+			set(f, "caller_floor_percent", c.CallerFloorPercent)
+			set(f, "quarantine_after", c.QuarantineAfter)
+			setDuration(f, "quarantine_time", c.QuarantineTime)
+			return nil
+		},
+	}.run(ctx, a)
+}
+
+func (c *policySetCommand) changeRanks(f fields) error {
+	if len(c.Ranks) == 0 && len(c.RemovedRanks) == 0 {
+		return nil
+	}
+	ranks, _ := f["ranks"].([]any)
+	for _, name := range c.RemovedRanks {
+		i := rankIndex(ranks, name)
+		if i < 0 {
+			return usagef("policy %s has no rank %s", c.Name, name)
+		}
+		ranks = slices.Delete(ranks, i, i+1)
+	}
+	for _, text := range c.Ranks {
+		given, err := parseRank(text)
+		if err != nil {
+			return err
+		}
+		i := rankIndex(ranks, given["name"])
+		if i < 0 {
+			ranks = append(ranks, given)
+			continue
+		}
+		rank, _ := ranks[i].(map[string]any)
+		for field, value := range given {
+			rank[field] = value
+		}
+	}
+	f["ranks"] = ranks
+	return nil
+}
+
+func rankIndex(ranks []any, name any) int {
+	return slices.IndexFunc(ranks, func(r any) bool {
+		m, ok := r.(map[string]any)
+		return ok && m["name"] == name
+	})
+}
+
+// parseRank reads the fields of a rank.
+func parseRank(text string) (map[string]any, error) {
+	pairs, err := parsePairs(strings.Split(text, ","))
+	if err != nil {
+		return nil, err
+	}
+	rank := map[string]any{}
+	for field, value := range pairs {
+		switch field {
+		case "name", "target":
+			rank[field] = value
+		case "floor_percent", "priority", "worth":
+			n, err := strconv.Atoi(value)
+			if err != nil {
+				return nil, usagef("%s of a rank is %q, want a whole number", field, value)
+			}
+			rank[field] = n
+		default:
+			return nil, usagef("a rank has no field %q", field)
+		}
+	}
+	if rank["name"] == nil {
+		return nil, usagef("rank %q has no name", text)
+	}
+	return rank, nil
+}
--- /dev/null
+++ b/baobabcommand/routecmd.go
@@ -0,0 +1,74 @@
+package baobabcommand
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdale/baobabdale/baobaboperator"
+)
+
+// routeGroup holds the commands about routes.
+type routeGroup struct {
+	Delete *routeDeleteCommand `arg:"subcommand:delete" help:"delete a route"`
+	List   *routeListCommand   `arg:"subcommand:list" help:"list all routes"`
+	Set    *routeSetCommand    `arg:"subcommand:set" help:"create or change a route"`
+	Show   *routeShowCommand   `arg:"subcommand:show" help:"show a route"`
+}
+
+type routeDeleteCommand struct{ deleteOptions }
+
+func (c *routeDeleteCommand) run(ctx context.Context, a *app) error {
+	return c.deleteResource(ctx, a, baobaboperator.KindRoute)
+}
+
+type routeListCommand struct{}
+
+func (*routeListCommand) run(ctx context.Context, a *app) error {
+	return a.listResources(ctx, baobaboperator.KindRoute)
+}
+
+type routeShowCommand struct{ showOptions }
+
+func (c *routeShowCommand) run(ctx context.Context, a *app) error {
+	return c.showResource(ctx, a, baobaboperator.KindRoute)
+}
+
+type routeSetCommand struct {
+	Name                  string         `arg:"positional,required" help:"name of the route"`
+	Host                  *string        `arg:"--host" placeholder:"HOST" help:"HTTP host; empty matches all"`
+	PathPrefix            *string        `arg:"--path-prefix" placeholder:"PATH" help:"start of the path, in whole segments"`
+	Methods               []string       `arg:"--method,separate" placeholder:"METHOD" help:"HTTP method; repeat it for more; replaces all earlier ones"`
+	Service               *string        `arg:"--service" placeholder:"NAME" help:"service that gets the calls"`
+	Policy                *string        `arg:"--policy" placeholder:"NAME" help:"policy of the calls"`
+	Rank                  *string        `arg:"--rank" placeholder:"NAME" help:"rank of the calls within the policy"`
+	CallTimeout           *time.Duration `arg:"--call-timeout" placeholder:"DURATION" help:"longest duration of a call"`
+	Idempotent            *bool          `arg:"--idempotent" help:"calls may be run more than once; --idempotent=false for at most once"`
+	RequireIdempotencyKey *bool          `arg:"--require-idempotency-key" help:"refuse calls without Idempotency-Key"`
+	File                  string         `arg:"--file" placeholder:"FILE" help:"JSON text that replaces the route before the other options are set"`
+	editOptions
+}
+
+func (c *routeSetCommand) run(ctx context.Context, a *app) error {
+	return edit{
+		kind: baobaboperator.KindRoute, name: c.Name, expect: c.Expect, file: c.File,
+		change: func(f fields) error {
+			set(f, "host", c.Host)
+			set(f, "path_prefix", c.PathPrefix)
+			setList(f, "methods", c.Methods)
+			set(f, "service", c.Service)
+			set(f, "policy", c.Policy)
+			set(f, "rank", c.Rank)
+			setDuration(f, "timeout", c.CallTimeout)
+			set(f, "idempotent", c.Idempotent)
+			set(f, "require_idempotency_key", c.RequireIdempotencyKey)
+			return nil
+		},
+	}.run(ctx, a)
+}
+
+// setDuration sets a field to the text form of a duration if the option was given.
+func setDuration(f fields, name string, d *time.Duration) {
+	if d != nil {
+		f[name] = d.String()
+	}
+}
--- a/baobaboperator/client_test.go
+++ b/baobaboperator/client_test.go
@@ -83,13 +83,13 @@
 		read      ErrorKind
 		accept    ErrorKind
 	}{
-		{"no listener, then good", []string{deadAddress(), good}, "", ""},
+		{"no listener, then good", []string{deadAddress, good}, "", ""},
 		{"unavailable, then good", []string{startNode(t, down, nil), good}, "", ""},
 		{"lost, then good", []string{lossy, good}, "", ""},
-		{"no listener", []string{deadAddress()}, ErrorUnavailable, ErrorUnavailable},
+		{"no listener", []string{deadAddress}, ErrorUnavailable, ErrorUnavailable},
 		{"unavailable", []string{startNode(t, down, nil)}, ErrorUnavailable, ErrorUnavailable},
 		{"always lost", []string{lossy}, ErrorUnavailable, ErrorUnknownOutcome},
-		{"lost, then unavailable", []string{lossy, deadAddress()}, ErrorUnavailable, ErrorUnknownOutcome},
+		{"lost, then unavailable", []string{lossy, deadAddress}, ErrorUnavailable, ErrorUnknownOutcome},
 		{"fault", []string{startNode(t, fault, nil)}, ErrorInternal, ErrorInternal},
 		{"lost, then fault", []string{lossy, startNode(t, fault, nil)}, ErrorInternal, ErrorUnknownOutcome},
 		{"no API", []string{startNode(t, down, func(http.Handler) http.Handler { return http.NotFoundHandler() })},
--- a/baobaboperator/fake_test.go
+++ b/baobaboperator/fake_test.go
@@ -142,11 +142,7 @@
 	return c
 }
 
-// deadAddress returns an address on which nothing listens.
-func deadAddress() string {
-	s := httptest.NewServer(http.NotFoundHandler())
-	defer s.Close()
-	return s.URL
-}
+// deadAddress is one on which nothing listens; only the superuser can open the port.
+const deadAddress = "127.0.0.1:1"
 
 func unavailable() error { return NewError("fake", ErrorUnavailable, "down") }
--- a/baobaboperator/server.go
+++ b/baobaboperator/server.go
@@ -204,7 +204,13 @@
 }
 
 func (s *Server) diff(ctx context.Context, _ *http.Request) (any, error) {
-	return result(s.service.Diff(ctx))
+	d, err := s.service.Diff(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d.Changes = append([]Change{}, d.Changes...)
+	d.Problems = append([]string{}, d.Problems...)
+	return d, nil
 }
 
 func (s *Server) accept(ctx context.Context, r *http.Request) (any, error) {
--- a/baobaboperator/version.go
+++ b/baobaboperator/version.go
@@ -13,5 +13,8 @@
 	if v.Number == 0 {
 		return "none"
 	}
+	if v.Digest == "" {
+		return fmt.Sprint(v.Number)
+	}
 	return fmt.Sprintf("%d (%.12s)", v.Number, v.Digest)
 }
--- a/baobabsettings/node.go
+++ b/baobabsettings/node.go
@@ -2,13 +2,13 @@
 
 import (
 	"maps"
-	"unicode"
+	"regexp"
 )
 
-// Bounds of node labels in bytes.
-const (
-	maxLabelKeyBytes   = 64
-	maxLabelValueBytes = 256
+// Labels have the form that selectors can match.
+var (
+	labelKeyPattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9._/-]{0,62}$`)
+	labelValuePattern = regexp.MustCompile(`^[A-Za-z0-9._:/-]{1,128}$`)
 )
 
 // Node identifies a node.
@@ -41,12 +41,12 @@
 		if !ok {
 			continue
 		}
-		if !isIdentifier(key.Name()) {
-			r.problem(section, key.Name(), "the key is not 1 to %d letters, digits, dots, hyphens or underscores", maxLabelKeyBytes)
+		if !labelKeyPattern.MatchString(key.Name()) {
+			r.problem(section, key.Name(), "the key is not 1 to 63 small letters, digits, '.', '_', '/' or '-'")
 			continue
 		}
-		if len(value) > maxLabelValueBytes || !isPrintable(value) {
-			r.problem(section, key.Name(), "the value is not 1 to %d bytes of printable text", maxLabelValueBytes)
+		if !labelValuePattern.MatchString(value) {
+			r.problem(section, key.Name(), "the value is not 1 to 128 letters, digits, '.', '_', ':', '/' or '-'")
 			continue
 		}
 		labels[key.Name()] = value
@@ -54,15 +54,6 @@
 	return labels
 }
 
-func isPrintable(s string) bool {
-	for _, c := range s {
-		if !unicode.IsPrint(c) {
-			return false
-		}
-	}
-	return true
-}
-
 // ID returns the unique id of the node.
 func (n Node) ID() string { return n.id }
 
--- a/baobabsettings/settings_test.go
+++ b/baobabsettings/settings_test.go
@@ -141,7 +141,9 @@
 		{"short token", "= token", "= short", []string{"[operator] token_file: short has 15 bytes, at least 16 are needed"}},
 		{"no token", "= token", "= gone", []string{"[operator] token_file: open gone: file does not exist"}},
 		{"label", "", "[node_labels]\na b = c\n",
-			[]string{"[node_labels] a b: the key is not 1 to 64 letters, digits, dots, hyphens or underscores"}},
+			[]string{"[node_labels] a b: the key is not 1 to 63 small letters, digits, '.', '_', '/' or '-'"}},
+		{"label value", "", "[node_labels]\na = b c\n",
+			[]string{"[node_labels] a: the value is not 1 to 128 letters, digits, '.', '_', ':', '/' or '-'"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			text := strings.Replace(minimal, c.from, c.to, 1)
