admission: queue with rank floors and caller turns, learnt concurrency limit, gate

Cause: the node on the upstream's VM is the only place that knows the true number of calls in flight, so it decides the order of service, refuses early what cannot be served in time, and bounds concurrency.

Change: Queue (pure) serves the most urgent rank first with a floor per rank and equal turns per caller, displaces from a full queue, refuses as deadline_unmeetable from an estimated wait that is corrected by measured waits, and bounds the wait of an overloaded rank by its target. Limiter (pure) starts from the announced slots, judges each move by latency and throughput, ignores failed calls and ramps up a cold upstream. Gate combines both for concurrent use.

--- /dev/null
+++ b/baobabadmission/counters.go
@@ -0,0 +1,40 @@
+package baobabadmission
+
+import (
+	"slices"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// counters counts the decisions of a gate by rank. Ranks are names of the policy, so their number is bounded.
+type counters struct {
+	granted map[string]uint64
+	refused map[string]map[call.Reason]uint64
+}
+
+func newCounters() *counters {
+	return &counters{granted: map[string]uint64{}, refused: map[string]map[call.Reason]uint64{}}
+}
+
+func (c *counters) grant(rank string) { c.granted[rank]++ }
+
+func (c *counters) refuse(rank string, reason call.Reason) {
+	byReason, ok := c.refused[rank]
+	if !ok {
+		byReason = map[call.Reason]uint64{}
+		c.refused[rank] = byReason
+	}
+	byReason[reason]++
+}
+
+// refusals returns all counts above zero, sorted by rank and reason.
+func (c *counters) refusals() []RefusalCount {
+	var all []RefusalCount
+	for rank, byReason := range c.refused {
+		for reason, n := range byReason {
+			all = append(all, RefusalCount{rank: rank, reason: reason, count: n})
+		}
+	}
+	slices.SortFunc(all, compareRefusalCounts)
+	return all
+}
--- /dev/null
+++ b/baobabadmission/limiter_test.go
@@ -0,0 +1,144 @@
+package baobabadmission
+
+import (
+	"testing"
+	"time"
+)
+
+func constantSlots(n int) func(time.Duration) int {
+	return func(time.Duration) int { return n }
+}
+
+// TestLimiterFindsCapacity guards against a limit that noise drags down, that creeps up, or that mistakes slower
+// calls for queued ones.
+func TestLimiterFindsCapacity(t *testing.T) {
+	tests := []struct {
+		name       string
+		slots      func(time.Duration) int
+		slower     func(time.Duration) float64
+		offset     int
+		least      int
+		most       int
+		throughput float64 // Least answers per second in the second half.
+	}{
+		{name: "steady", slots: constantSlots(6), least: 4, most: 10, throughput: 500},
+		{name: "too few announced", slots: constantSlots(12), offset: -6, least: 8, most: 18, throughput: 900},
+		{
+			name: "capacity drops to a third",
+			slots: func(at time.Duration) int {
+				if at < 5*time.Second {
+					return 18
+				}
+				return 6
+			},
+			least: 4, most: 10, throughput: 500,
+		},
+		{
+			name:  "calls become three times slower",
+			slots: constantSlots(18),
+			slower: func(at time.Duration) float64 {
+				if at < 5*time.Second {
+					return 1
+				}
+				return 3
+			},
+			least: 11, most: 30, throughput: 450,
+		},
+	}
+	for _, test := range tests {
+		for seed := range uint64(3) {
+			s := simulation{
+				policy: NewPolicy(nil, 64, 0),
+				loads: []load{{
+					rank: "default", rate: 2500, callers: 4, target: time.Second, deadline: time.Second,
+				}},
+				slots:   test.slots,
+				slower:  test.slower,
+				offset:  test.offset,
+				service: 10 * time.Millisecond,
+				length:  20 * time.Second,
+				from:    10 * time.Second,
+				seed:    seed + 1,
+			}
+			results, limit := s.run(t)
+			got := float64(results["default"].answered) / 10
+			if limit < test.least || limit > test.most || got < test.throughput {
+				t.Errorf("%s, seed %d: Limit = %d, %.0f answers/s, want %d to %d, at least %.0f/s",
+					test.name, s.seed, limit, got, test.least, test.most, test.throughput)
+			}
+		}
+	}
+}
+
+// TestLimiterIgnoresFastErrors guards against an upstream that fails fast and so looks idle.
+func TestLimiterIgnoresFastErrors(t *testing.T) {
+	l := NewLimiter(0, 1)
+	now := simEpoch
+	l.Announce(now, 6, 100, time.Time{})
+	for range 10 * windowSamples {
+		now = now.Add(time.Millisecond)
+		l.Record(now, "a", 10*time.Millisecond, OutcomeSucceeded, 1)
+	}
+	latency, limit := l.Latency(), l.Limit(now)
+	for range 10 * windowSamples {
+		now = now.Add(time.Microsecond)
+		l.Record(now, "a", time.Microsecond, OutcomeFailed, 6)
+		l.Record(now, "a", time.Microsecond, OutcomeCancelled, 6)
+	}
+	if l.Latency() != latency || l.Limit(now) != limit {
+		t.Errorf("After errors: Latency = %v, Limit = %d, want %v and %d", l.Latency(), l.Limit(now), latency, limit)
+	}
+}
+
+// TestLimiterCutsOncePerShedding guards against a limit that falls to 1 because calls sent together are shed
+// together.
+func TestLimiterCutsOncePerShedding(t *testing.T) {
+	l := NewLimiter(0, 1)
+	l.Announce(simEpoch, 20, 100, time.Time{})
+	now := simEpoch.Add(time.Second)
+	for n := 20; n > 0; n-- {
+		l.Record(now, "a", 10*time.Millisecond, OutcomeShed, n)
+	}
+	if got := l.Limit(now); got != 16 {
+		t.Errorf("Limit after 20 calls of one burst were shed = %d, want 16", got)
+	}
+}
+
+// TestLimiterBounds guards against a limit outside 1 to the announced connections.
+func TestLimiterBounds(t *testing.T) {
+	l := NewLimiter(0, 1)
+	now := simEpoch
+	l.Announce(now, 4, 5, time.Time{})
+	for range 100 * windowSamples {
+		now = now.Add(time.Millisecond)
+		l.Record(now, "a", time.Millisecond, OutcomeSucceeded, l.Limit(now))
+		if got := l.Limit(now); got < 1 || got > 5 {
+			t.Fatalf("Limit = %d, want 1 to 5", got)
+		}
+	}
+	if got := l.Limit(now); got != 5 {
+		t.Errorf("Limit in full use at a constant latency = %d, want 5", got)
+	}
+	for range 50 {
+		now = now.Add(time.Second)
+		l.Record(now, "a", time.Millisecond, OutcomeShed, l.Limit(now))
+	}
+	if got := l.Limit(now); got != 1 {
+		t.Errorf("Limit after repeated shedding = %d, want 1", got)
+	}
+}
+
+// TestLimiterWarmsUp guards against full load on an upstream that has just started.
+func TestLimiterWarmsUp(t *testing.T) {
+	l := NewLimiter(10*time.Second, 0.25)
+	l.Announce(simEpoch, 20, 100, simEpoch)
+	tests := []struct {
+		age  time.Duration
+		want int
+	}{{0, 5}, {5 * time.Second, 12}, {10 * time.Second, 20}, {time.Hour, 20}}
+	for _, test := range tests {
+		if got := l.Limit(simEpoch.Add(test.age)); got != test.want {
+			t.Errorf("Limit after %v = %d, want %d", test.age, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/baobabadmission/option.go
@@ -0,0 +1,17 @@
+package baobabadmission
+
+import "time"
+
+// An Option sets an optional property of a Gate.
+type Option func(*Gate)
+
+// WithPolicy sets the policy; without it there is one rank.
+func WithPolicy(p Policy) Option {
+	return func(g *Gate) { g.queue = NewQueue(p) }
+}
+
+// WithWarmUp sets the time over which the limit grows to its full value after the upstream started, and the
+// fraction from 0 to 1 that it starts from. The default is 10 s from 0.25.
+func WithWarmUp(d time.Duration, fraction float64) Option {
+	return func(g *Gate) { g.limiter = NewLimiter(d, min(max(fraction, 0), 1)) }
+}
--- /dev/null
+++ b/baobabadmission/request.go
@@ -0,0 +1,29 @@
+package baobabadmission
+
+import "time"
+
+// A Request describes a call to the gate.
+type Request struct {
+	rank     string
+	caller   string
+	deadline time.Time // Zero means none.
+	kind     string
+}
+
+// NewRequest returns a request. The kind groups calls of similar cost, for example by route; latencies are
+// compared only within a kind, so that a change in the mix of calls does not look like overload.
+func NewRequest(rank, caller string, deadline time.Time, kind string) Request {
+	return Request{rank: rank, caller: caller, deadline: deadline, kind: kind}
+}
+
+// Rank returns the name of the rank.
+func (r Request) Rank() string { return r.rank }
+
+// Caller returns the identity of the caller.
+func (r Request) Caller() string { return r.caller }
+
+// Deadline returns the time after which the answer is of no use, or zero.
+func (r Request) Deadline() time.Time { return r.deadline }
+
+// Kind returns the group of calls of similar cost.
+func (r Request) Kind() string { return r.kind }
--- /dev/null
+++ b/baobabadmission/simulation_test.go
@@ -0,0 +1,158 @@
+package baobabadmission
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A load is a Poisson stream of requests of one rank, spread evenly over its callers.
+type load struct {
+	rank     string
+	rate     float64 // Requests per second.
+	callers  int
+	target   time.Duration
+	deadline time.Duration // After the arrival.
+}
+
+// A simulation runs a Queue and a Limiter in front of an upstream with a first-in first-out queue of its own.
+type simulation struct {
+	policy  Policy
+	loads   []load
+	slots   func(at time.Duration) int     // Calls that the upstream truly runs at once.
+	service time.Duration                  // Mean; exponentially distributed.
+	slower  func(at time.Duration) float64 // Factor of the service time; nil means 1.
+	offset  int                            // Announced slots above the true ones at the start.
+	static  bool                           // The limit stays at the announced slots.
+	length  time.Duration
+	from    time.Duration // Results before this time are not counted.
+	seed    uint64
+}
+
+// A rankResult holds what became of the requests of one rank.
+type rankResult struct {
+	offered  int
+	answered int
+	inTarget int
+	latency  []time.Duration
+	callers  map[string]int // Answers by caller.
+}
+
+func (r *rankResult) share() float64 { return float64(r.inTarget) / float64(max(1, r.offered)) }
+
+func (r *rankResult) quantile(q float64) time.Duration {
+	if len(r.latency) == 0 {
+		return 0
+	}
+	slices.Sort(r.latency)
+	return r.latency[int(q*float64(len(r.latency)-1))]
+}
+
+type simEvent struct {
+	at      time.Duration
+	load    int // Index of the load that gets an arrival, or -1 for a completion.
+	call    *Entry
+	granted time.Time
+}
+
+type simEvents []simEvent
+
+func (h simEvents) Len() int           { return len(h) }
+func (h simEvents) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h simEvents) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *simEvents) Push(x any)        { *h = append(*h, x.(simEvent)) }
+func (h *simEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+var simEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// run returns the results by rank, and the limit at the end.
+func (s simulation) run(t testing.TB) (map[string]*rankResult, int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(s.seed, s.seed))
+	queue := NewQueue(s.policy)
+	announced := s.slots(0) + s.offset
+	limiter := NewLimiter(0, 1)
+	limiter.Announce(simEpoch, announced, 10*announced, time.Time{})
+	results := map[string]*rankResult{}
+	targets := map[string]time.Duration{}
+	events := &simEvents{}
+	next := func(at time.Duration, i int) {
+		gap := time.Duration(random.ExpFloat64() / s.loads[i].rate * float64(time.Second))
+		heap.Push(events, simEvent{at: at + gap, load: i})
+	}
+	for i, l := range s.loads {
+		results[l.rank] = &rankResult{callers: map[string]int{}}
+		targets[l.rank] = l.target
+		next(0, i)
+	}
+	inFlight, running := 0, 0
+	var backlog []simEvent // Granted calls in the upstream's own queue.
+	limit := func(now time.Time) int {
+		if s.static {
+			return announced
+		}
+		return limiter.Limit(now)
+	}
+	for events.Len() > 0 {
+		ev := heap.Pop(events).(simEvent)
+		if ev.at > s.length {
+			break
+		}
+		now := simEpoch.Add(ev.at)
+		if ev.load >= 0 {
+			l := s.loads[ev.load]
+			next(ev.at, ev.load)
+			caller := string(rune('a' + random.IntN(l.callers)))
+			r := NewRequest(l.rank, caller, now.Add(l.deadline), l.rank)
+			if ev.at >= s.from {
+				results[l.rank].offered++
+			}
+			service := NewService(limit(now), inFlight, limiter.Latency(), limiter.Shortest(r.kind))
+			_, _, _ = queue.Offer(now, r, service)
+		} else {
+			running--
+			limiter.Record(now, ev.call.request.kind, now.Sub(ev.granted), OutcomeSucceeded, inFlight)
+			inFlight--
+			record(results[ev.call.request.rank], ev.call, now, simEpoch.Add(s.from), targets)
+		}
+		for inFlight < limit(now) {
+			e, _ := queue.Next(now)
+			if e == nil {
+				break
+			}
+			inFlight++
+			backlog = append(backlog, simEvent{load: -1, call: e, granted: now})
+		}
+		for len(backlog) > 0 && running < s.slots(ev.at) {
+			c := backlog[0]
+			backlog = backlog[1:]
+			running++
+			factor := 1.0
+			if s.slower != nil {
+				factor = s.slower(ev.at)
+			}
+			c.at = ev.at + time.Duration(random.ExpFloat64()*float64(s.service)*factor)
+			heap.Push(events, c)
+		}
+	}
+	return results, limit(simEpoch.Add(s.length))
+}
+
+func record(r *rankResult, e *Entry, now, from time.Time, targets map[string]time.Duration) {
+	if e.since.Before(from) || now.After(e.request.deadline) {
+		return
+	}
+	took := now.Sub(e.since)
+	r.answered++
+	r.callers[e.request.caller]++
+	r.latency = append(r.latency, took)
+	if took <= targets[e.request.rank] {
+		r.inTarget++
+	}
+}
