--- /dev/null
+++ b/baobabnode/members.go
@@ -0,0 +1,137 @@
+package baobabnode
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
+	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	route "github.com/baobabdale/baobabdale/baobabroute"
+)
+
+// members is the member table with its lock. After each change it rebuilds the endpoint index on the blackboard.
+type members struct {
+	board *blackboard.Board
+	self  string
+
+	mu    sync.Mutex
+	table *membership.Table // Guarded by mu.
+}
+
+func newMembers(board *blackboard.Board, table *membership.Table) *members {
+	return &members{board: board, self: table.Self().ID(), table: table}
+}
+
+// do runs f with the table locked and returns the changes that f made.
+func (m *members) do(f func(*membership.Table) []membership.Change) []membership.Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changes := f(m.table)
+	if len(changes) > 0 {
+		m.index()
+	}
+	return changes
+}
+
+// setSelf changes the own record.
+func (m *members) setSelf(now time.Time, change func(*membership.Member)) membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetSelf(now, change)
+	m.index()
+	return m.table.Self()
+}
+
+// index requires mu.
+func (m *members) index() {
+	byService := make(map[string][]route.Candidate)
+	for _, v := range m.table.Members() {
+		e, ok := v.Endpoint()
+		if !ok || !takesCalls(e.State()) {
+			continue
+		}
+		byService[e.Service()] = append(byService[e.Service()], toCandidate(v, e))
+	}
+	self := m.table.Self()
+	sets := make(map[string]*route.Set, len(byService))
+	for service, list := range byService {
+		sets[service] = route.NewSet(service, self.FailureDomain(), self.Region(), list)
+	}
+	m.board.SetEndpoints(sets)
+}
+
+func (m *members) selfRecord() membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Self()
+}
+
+func (m *members) live() []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Members()
+}
+
+func (m *members) member(id string) (membership.Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Member(id)
+}
+
+func (m *members) ranked(purpose, domain string) []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Ranked(purpose, domain)
+}
+
+func (m *members) domains() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Domains()
+}
+
+func (m *members) records(domains []string) []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Records(domains)
+}
+
+func (m *members) digest() membership.Digest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Digest()
+}
+
+// leads reports whether this node is among the first count members of its failure domain for a purpose.
+func (m *members) leads(purpose string, count int) bool {
+	list := m.ranked(purpose, m.selfRecord().FailureDomain())
+	for i := range min(count, len(list)) {
+		if list[i].ID() == m.self {
+			return true
+		}
+	}
+	return false
+}
+
+// random returns a random live member of a failure domain other than this node.
+func (m *members) random(random *rand.Rand, domain string) (membership.Member, bool) {
+	var list []membership.Member
+	for _, v := range m.live() {
+		if v.FailureDomain() == domain && v.ID() != m.self {
+			list = append(list, v)
+		}
+	}
+	if len(list) == 0 {
+		return membership.Member{}, false
+	}
+	return list[random.IntN(len(list))], true
+}
+
+func takesCalls(s membership.EndpointState) bool {
+	return s == membership.EndpointReady || s == membership.EndpointWarming
+}
+
+func toCandidate(m membership.Member, e membership.Endpoint) route.Candidate {
+	return route.NewCandidate(m.ID(), m.PeerAddress(), m.FailureDomain(), m.Region(), int(e.Slots()), e.StartTime())
+}
--- /dev/null
+++ b/baobabnode/peerhandler.go
@@ -0,0 +1,153 @@
+package baobabnode
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
+)
+
+// answerChunkBytes is the size of the pieces in which an answer's body is passed on.
+const answerChunkBytes = 32 << 10
+
+// A peerHandler serves the streams of other nodes.
+type peerHandler struct {
+	admitter      *Admitter
+	configuration *configurationController
+	membership    *membershipController
+	broadcaster   *broadcaster
+	quarantine    *quarantineController
+	status        *statusController
+	maxBody       int64
+	now           func() time.Time
+	logger        *log.Logger
+}
+
+// ServeStream implements peer.Handler.
+func (h *peerHandler) ServeStream(ctx context.Context, s *peer.Stream) {
+	m, err := s.Receive()
+	if err != nil {
+		return
+	}
+	if c := m.GetCall(); c != nil {
+		h.serveCall(ctx, s, c)
+		return
+	}
+	reply, err := h.answer(ctx, m)
+	if err != nil {
+		h.logger.Warn("message not handled", "err", err)
+		reply = &wire.Envelope{Body: &wire.Envelope_Error{Error: &wire.Error{Kind: "failed", Text: err.Error()}}}
+	}
+	if err := s.Send(reply); err != nil {
+		return
+	}
+	_ = s.SendEnd()
+}
+
+// answer handles a control message.
+func (h *peerHandler) answer(ctx context.Context, m *wire.Envelope) (*wire.Envelope, error) {
+	switch t := m.GetBody().(type) {
+	case *wire.Envelope_Probe:
+		return &wire.Envelope{Body: &wire.Envelope_ProbeAck{ProbeAck: h.membership.answerProbe(t.Probe)}}, nil
+	case *wire.Envelope_IndirectProbe:
+		return &wire.Envelope{Body: &wire.Envelope_ProbeAck{ProbeAck: h.membership.answerIndirectProbe(ctx, t.IndirectProbe)}}, nil
+	case *wire.Envelope_Exchange:
+		return &wire.Envelope{Body: &wire.Envelope_ExchangeReply{ExchangeReply: h.membership.answerExchange(t.Exchange)}}, nil
+	case *wire.Envelope_Broadcast:
+		h.receiveBroadcast(t.Broadcast)
+		ack := &wire.BroadcastAck{Version: toWireVersion(h.configuration.board.Version())}
+		return &wire.Envelope{Body: &wire.Envelope_BroadcastAck{BroadcastAck: ack}}, nil
+	case *wire.Envelope_FetchDelta:
+		reply, err := h.configuration.answerDelta(t.FetchDelta.GetBase())
+		return &wire.Envelope{Body: &wire.Envelope_ConfigurationReply{ConfigurationReply: reply}}, err
+	case *wire.Envelope_FetchSnapshot:
+		reply, err := h.configuration.answerDelta(&wire.Version{})
+		return &wire.Envelope{Body: &wire.Envelope_ConfigurationReply{ConfigurationReply: reply}}, err
+	case *wire.Envelope_Join:
+		reply, err := h.membership.answerJoin(t.Join)
+		return &wire.Envelope{Body: &wire.Envelope_JoinReply{JoinReply: reply}}, err
+	case *wire.Envelope_StatusRequest:
+		return &wire.Envelope{Body: &wire.Envelope_StatusReply{StatusReply: h.status.answer(ctx, t.StatusRequest)}}, nil
+	default:
+		return &wire.Envelope{Body: &wire.Envelope_Error{Error: &wire.Error{Kind: "unsupported", Text: "unsupported message"}}}, nil
+	}
+}
+
+// receiveBroadcast passes an update on before it is applied, so that its way through the tree stays short.
+func (h *peerHandler) receiveBroadcast(m *wire.Broadcast) {
+	h.broadcaster.receive(m)
+	switch t := m.GetUpdate().(type) {
+	case *wire.Broadcast_Configuration:
+		address := ""
+		if origin, ok := h.membership.members.member(m.GetOrigin()); ok {
+			address = origin.PeerAddress()
+		}
+		h.configuration.receive(t.Configuration, address)
+	case *wire.Broadcast_Members:
+		h.membership.merge(t.Members.GetRecords())
+	case *wire.Broadcast_Quarantine:
+		h.quarantine.receive(t.Quarantine)
+	}
+}
+
+// serveCall admits a call and streams the answer back. A body that is not sent whole is reset, never ended.
+func (h *peerHandler) serveCall(ctx context.Context, s *peer.Stream, c *wire.Call) {
+	r, err := receiveCall(h.now(), s, c, h.maxBody)
+	if err != nil {
+		h.logger.Warn("call not received", "call", c.GetId(), "err", err)
+		s.Reset()
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	answer, refusal := h.admitter.Admit(ctx, h.now(), r)
+	m := toWireAnswer(answer, refusal, h.admitter.Load(h.now()))
+	envelope := &wire.Envelope{Body: &wire.Envelope_CallAnswer{CallAnswer: m}}
+	if refusal != nil {
+		if s.Send(envelope) == nil {
+			_ = s.SendEnd()
+		}
+		return
+	}
+	body := answer.Body()
+	defer func() { _ = body.Close() }()
+	if err := s.Send(envelope); err != nil {
+		drainKeyed(r, body)
+		return
+	}
+	if err := copyBody(s, body); err != nil {
+		s.Reset()
+		drainKeyed(r, body)
+		return
+	}
+	_ = s.SendEnd()
+}
+
+// drainKeyed reads the rest of an answer that nobody waits for, so that it is recorded under its key.
+func drainKeyed(r *admissionRequest, body io.Reader) {
+	if r.keyed() {
+		_, _ = io.Copy(io.Discard, body)
+	}
+}
+
+func copyBody(s *peer.Stream, body io.Reader) error {
+	buffer := make([]byte, answerChunkBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if sendErr := s.SendChunk(buffer[:n]); sendErr != nil {
+				return sendErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/baobabnode/seedbook.go
@@ -0,0 +1,154 @@
+package baobabnode
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
+)
+
+const (
+	seedPrefix = "seed/"
+	// seedSlots is the number of seed rows per failure domain.
+	seedSlots = 4
+	// seedPurpose ranks the members that write the seed rows.
+	seedPurpose = "seed"
+	// seedIntervalMin and seedIntervalMax bound the time between two looks at the seed rows. It starts short,
+	// because nodes that start at once find each other through the rows, and doubles while nothing changes.
+	seedIntervalMin = time.Second
+	seedIntervalMax = 30 * time.Second
+	seedTimeout     = 2 * time.Second
+)
+
+// A seedBook keeps a few addresses per failure domain in the platform, through which starting nodes and parts that
+// lost each other find members.
+type seedBook struct {
+	store   platform.Store
+	members *members
+	static  []string // From the settings.
+	logger  *log.Logger
+
+	mu    sync.Mutex
+	known []string // Guarded by mu; addresses from the rows as last read.
+}
+
+// run keeps the rows of this failure domain up to date until ctx ends.
+func (b *seedBook) run(ctx context.Context) error {
+	interval := seedIntervalMin
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval + rand.N(interval/2)):
+		}
+		if b.refresh(ctx) {
+			interval = seedIntervalMin
+			continue
+		}
+		interval = min(2*interval, seedIntervalMax)
+	}
+}
+
+// addresses returns the addresses from the settings and from the platform. An error of the platform leaves those
+// from the settings.
+func (b *seedBook) addresses(ctx context.Context) []string {
+	if _, err := b.read(ctx); err != nil {
+		b.logger.Warn("seeds not read from the platform", "err", err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append(append([]string(nil), b.static...), b.known...)
+}
+
+// stranger returns the address of a random seed that is not a live member.
+func (b *seedBook) stranger(random *rand.Rand) (string, bool) {
+	live := map[string]bool{}
+	for _, m := range b.members.live() {
+		live[m.PeerAddress()] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []string
+	for _, a := range append(append([]string(nil), b.static...), b.known...) {
+		if !live[a] {
+			list = append(list, a)
+		}
+	}
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[random.IntN(len(list))], true
+}
+
+// refresh writes the row of this node if it ranks among the seeds of its failure domain, and reports whether rows
+// have changed.
+func (b *seedBook) refresh(ctx context.Context) bool {
+	slot := b.slot()
+	if slot < 0 && !b.members.leads(bridgePurpose, bridges) {
+		return false
+	}
+	rows, err := b.read(ctx)
+	if err != nil {
+		b.logger.Debug("seeds not read from the platform", "err", err)
+		return false
+	}
+	if slot < 0 {
+		return false
+	}
+	self := b.members.selfRecord()
+	key := fmt.Sprintf("%s%s/%d", seedPrefix, self.FailureDomain(), slot)
+	tx := platform.NewTransaction().IfAbsent(key)
+	for _, r := range rows {
+		if r.Key() != key {
+			continue
+		}
+		if string(r.Value()) == self.PeerAddress() {
+			return false
+		}
+		tx = platform.NewTransaction().IfRevision(key, r.Revision())
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	if _, err := b.store.Commit(ctx, tx.Put(key, []byte(self.PeerAddress())).Build()); err != nil {
+		b.logger.Debug("seed not written", "err", err)
+	}
+	return true
+}
+
+// slot returns the number of the row that this node writes, or -1.
+func (b *seedBook) slot() int {
+	for i, m := range b.members.ranked(seedPurpose, b.members.selfRecord().FailureDomain()) {
+		if i == seedSlots {
+			return -1
+		}
+		if m.ID() == b.members.self {
+			return i
+		}
+	}
+	return -1
+}
+
+func (b *seedBook) read(ctx context.Context) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	rows, err := b.store.Scan(ctx, seedPrefix)
+	if err != nil {
+		return nil, err
+	}
+	self := b.members.selfRecord().PeerAddress()
+	var known []string
+	for _, r := range rows {
+		if string(r.Value()) != self {
+			known = append(known, string(r.Value()))
+		}
+	}
+	b.mu.Lock()
+	b.known = known
+	b.mu.Unlock()
+	return rows, nil
+}
--- /dev/null
+++ b/baobabnode/wirecall.go
@@ -0,0 +1,152 @@
+package baobabnode
+
+import (
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	admission "github.com/baobabdale/baobabdale/baobabadmission"
+	call "github.com/baobabdale/baobabdale/baobabcall"
+	claim "github.com/baobabdale/baobabdale/baobabclaim"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
+)
+
+// requestDigest identifies a request for its idempotency key.
+func requestDigest(c *call.Call) claim.Digest {
+	h := sha256.New()
+	for _, part := range []string{c.Method(), c.Host(), c.Target()} {
+		_, _ = io.WriteString(h, part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.Body())
+	return claim.Digest(h.Sum(nil))
+}
+
+// pathOf returns the first segment of a target's path. It groups calls of similar cost.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	path = strings.TrimPrefix(path, "/")
+	first, _, _ := strings.Cut(path, "/")
+	return first
+}
+
+// toHeader converts header fields of a message.
+func toHeader(fields []*wire.HeaderField) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.GetName()] = f.GetValues()
+	}
+	return h
+}
+
+// fromHeader converts a header to sorted fields.
+func fromHeader(h http.Header) []*wire.HeaderField {
+	fields := make([]*wire.HeaderField, 0, len(h))
+	for name, values := range h {
+		fields = append(fields, &wire.HeaderField{Name: name, Values: values})
+	}
+	slices.SortFunc(fields, func(a, b *wire.HeaderField) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return fields
+}
+
+// toWireCall converts a call for the admitting node. The deadline travels as the time left, so that clocks need
+// not agree.
+func toWireCall(now time.Time, r *admissionRequest, attempt int) *wire.Call {
+	c := r.call
+	return &wire.Call{
+		Id:             c.ID(),
+		Caller:         c.Caller(),
+		Service:        r.service,
+		Rank:           r.rank,
+		Method:         c.Method(),
+		Target:         c.Target(),
+		Host:           c.Host(),
+		Header:         fromHeader(c.Header()),
+		RemainingUs:    r.deadline.Sub(now).Microseconds(),
+		Attempt:        uint32(attempt),
+		Idempotent:     r.idempotent,
+		IdempotencyKey: c.IdempotencyKey(),
+		BodySize:       int64(len(c.Body())),
+		Retried:        c.Retried(),
+	}
+}
+
+// receiveCall reads the body that follows a call message and returns the request.
+func receiveCall(now time.Time, s *peer.Stream, m *wire.Call, maxBody int64) (*admissionRequest, error) {
+	if m.GetBodySize() < 0 || m.GetBodySize() > maxBody {
+		return nil, errors.Errorf("receive call: body of %d bytes exceeds the limit of %d", m.GetBodySize(), maxBody)
+	}
+	body := make([]byte, 0, m.GetBodySize())
+	for {
+		chunk, end, err := s.ReceiveChunk()
+		if err != nil {
+			return nil, errors.Wrap(err, "receive call")
+		}
+		if end {
+			break
+		}
+		if int64(len(body)+len(chunk)) > m.GetBodySize() {
+			return nil, errors.New("receive call: body is longer than announced")
+		}
+		body = append(body, chunk...)
+	}
+	if int64(len(body)) != m.GetBodySize() {
+		return nil, errors.New("receive call: body is shorter than announced")
+	}
+	options := []call.Option{
+		call.WithBody(body), call.WithHeader(toHeader(m.GetHeader())), call.WithIdempotencyKey(m.GetIdempotencyKey()),
+	}
+	if m.GetRetried() {
+		options = append(options, call.WithRetried())
+	}
+	return &admissionRequest{
+		call:       call.NewCall(m.GetId(), m.GetCaller(), m.GetMethod(), m.GetHost(), m.GetTarget(), options...),
+		service:    m.GetService(),
+		rank:       m.GetRank(),
+		deadline:   now.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond),
+		idempotent: m.GetIdempotent(),
+	}, nil
+}
+
+// toWireAnswer converts the head of an answer or a refusal.
+func toWireAnswer(a *call.Answer, r *call.Refusal, load admission.Load) *wire.CallAnswer {
+	m := &wire.CallAnswer{Load: toWireLoad(load)}
+	if r != nil {
+		m.Outcome = string(r.Outcome())
+		m.Refusal = &wire.Refusal{
+			Reason: string(r.Reason()), Detail: r.Detail(), RetryAfterMs: r.RetryAfter().Milliseconds(),
+		}
+		return m
+	}
+	m.Outcome = string(call.OutcomeRan)
+	m.Status = uint32(a.Status())
+	m.Header = fromHeader(a.Header())
+	m.Replayed = a.Replayed()
+	return m
+}
+
+func toWireLoad(l admission.Load) *wire.Load {
+	return &wire.Load{
+		InProgress: uint32(l.InFlight()),
+		Limit:      uint32(l.Limit()),
+		Queued:     uint32(l.Queued()),
+		WaitUs:     l.Wait().Microseconds(),
+		Draining:   l.Draining(),
+	}
+}
+
+// toRefusal converts a refusal. An outcome that is not known counts as unknown.
+func toRefusal(m *wire.CallAnswer) *call.Refusal {
+	outcome := call.Outcome(m.GetOutcome())
+	if outcome != call.OutcomeNotRun && outcome != call.OutcomeRan {
+		outcome = call.OutcomeUnknown
+	}
+	r := call.NewRefusal(call.Reason(m.GetRefusal().GetReason()), outcome, m.GetRefusal().GetDetail())
+	return r.WithRetryAfter(time.Duration(m.GetRefusal().GetRetryAfterMs()) * time.Millisecond)
+}
