--- /dev/null
+++ b/baobabcommand/operations_test.go
@@ -0,0 +1,23 @@
+package baobabcommand
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// TestOperationsPage guards against a refusal reason that operators cannot look up.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range baobabcall.Reasons() {
+		if !strings.Contains(string(page), "| `"+string(r)+"` |") {
+			t.Errorf("docs/operations.md does not explain the reason %s", r)
+		}
+	}
+}
