--- a/baobaboperator/client.go
+++ b/baobaboperator/client.go
@@ -23,6 +23,8 @@
 	defaultRounds = 3
 	// defaultPause is the wait between two rounds.
 	defaultPause = 200 * time.Millisecond
+	// dialTimeout makes the client go on to the next node when one is cut off and drops packets.
+	dialTimeout = 2 * time.Second
 	// defaultAttemptTimeout is longer than the server's own limit, so that the server's answer arrives.
 	defaultAttemptTimeout = defaultTimeout + 2*time.Second
 )
@@ -58,7 +60,10 @@
 	c := &Client{
 		token: token, rounds: defaultRounds, pause: defaultPause, attemptTimeout: defaultAttemptTimeout,
 		http: &http.Client{
-			Transport:     &http.Transport{IdleConnTimeout: time.Minute},
+			Transport: &http.Transport{
+				DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				IdleConnTimeout: time.Minute,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
