--- a/baobabemulator/platformmemorystore.go
+++ b/baobabemulator/platformmemorystore.go
@@ -32,6 +32,9 @@
 	return nil
 }
 
+// Faults returns the present faults.
+func (s *PlatformMemoryStore) Faults() PlatformFaults { return s.injector.get() }
+
 // Get implements platform.Store.
 func (s *PlatformMemoryStore) Get(ctx context.Context, key string) (platform.Row, bool, error) {
 	if err := s.admitRead(ctx, "get"); err != nil {
--- /dev/null
+++ b/baobabrelease/error.go
@@ -0,0 +1,107 @@
+package baobabrelease
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
+)
+
+// Kind classifies a failure.
+type Kind string
+
+// Kinds of failure, sorted. Only KindUnknownOutcome leaves open whether the operation took effect.
+const (
+	// KindCandidateChanged means that the candidate differs from the one that the operator was shown.
+	KindCandidateChanged Kind = "candidate_changed"
+	// KindConflict means that another operator changed the same edit, or accepted another version, first.
+	KindConflict Kind = "conflict"
+	// KindInvalid means that an argument or a stored text is malformed.
+	KindInvalid Kind = "invalid"
+	// KindNotFound means that a snapshot is missing in the object store.
+	KindNotFound Kind = "not_found"
+	// KindRejected means that the candidate is not a valid configuration.
+	KindRejected Kind = "rejected"
+	// KindUnavailable means that the platform cannot be used now and the operation had no effect.
+	KindUnavailable Kind = "unavailable"
+	// KindUnknownOutcome means that the operation may take effect. An accept may be repeated under the same
+	// operation id; an edit may be repeated with the same expected revision.
+	KindUnknownOutcome Kind = "unknown_outcome"
+)
+
+// An Error is a failed operation on a Book.
+type Error struct {
+	operation string
+	kind      Kind
+	current   *Edit                   // The newer edit of a conflict; nil if it was deleted.
+	problems  []configuration.Problem // Why the candidate was rejected.
+	cause     error
+}
+
+func newError(operation string, kind Kind, cause error) *Error {
+	return &Error{operation: operation, kind: kind, cause: cause}
+}
+
+// fromPlatform returns the error for a failure of the platform that had no effect, unless its outcome is unknown.
+func fromPlatform(operation string, err error) *Error {
+	kind := KindUnavailable
+	switch platform.KindOf(err) {
+	case platform.KindConflict:
+		kind = KindConflict
+	case platform.KindInvalid:
+		kind = KindInvalid
+	case platform.KindNotFound:
+		kind = KindNotFound
+	case platform.KindUnknownOutcome:
+		kind = KindUnknownOutcome
+	}
+	return newError(operation, kind, err)
+}
+
+// Operation returns the operation that failed, for example "accept".
+func (e *Error) Operation() string { return e.operation }
+
+// Kind returns the kind of the failure.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Current returns the newer edit of a conflict, and whether there is one; it may have been deleted.
+func (e *Error) Current() (Edit, bool) {
+	if e.current == nil {
+		return Edit{}, false
+	}
+	return *e.current, true
+}
+
+// Problems returns why the candidate was rejected.
+func (e *Error) Problems() []configuration.Problem { return e.problems }
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s: %s", e.operation, e.kind)
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	if len(e.problems) > 0 {
+		lines := make([]string, 0, len(e.problems))
+		for _, p := range e.problems {
+			lines = append(lines, p.String())
+		}
+		text += ": " + strings.Join(lines, "; ")
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// KindOf returns the kind of the *Error in the chain of err, or an empty kind if there is none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.kind
+	}
+	return ""
+}
