--- a/baobabemulator/platform_test.go
+++ b/baobabemulator/platform_test.go
@@ -132,3 +132,36 @@
 		}
 	}
 }
+
+// TestPlatformLateWrite guards against a stand-in that drops a delayed write when its client has gone. The platform
+// does not, and proofs of what happens to late writes depend on it.
+func TestPlatformLateWrite(t *testing.T) {
+	ctx := context.Background()
+	p := NewPlatform()
+	server := httptest.NewServer(p)
+	defer server.Close()
+	client, err := platform.NewClient(server.URL, platform.WithTimeout(50*time.Millisecond))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	if err := p.SetFaults(PlatformFaults{Delay: "200ms"}); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(30 * time.Second)
+	// On a busy machine the time limit may pass before the write is sent; then it is sent again.
+	for platform.KindOf(err) != platform.KindUnknownOutcome {
+		if _, err = client.Commit(ctx, platform.NewTransaction().Put("k", nil).Build()); err == nil || time.Now().After(deadline) {
+			t.Fatalf("Commit() = %v, want kind unknown_outcome", err)
+		}
+	}
+	for {
+		if _, ok := p.table.get("k"); ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the late write has no effect")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
