baobabfault: TCP proxy that injects failures

Cause: the usual fault-injecting proxy cannot be resolved as a module, and tests need links that are cut, late, slow, half-open or lose replies.

Change: a proxy between a listener and a target with Cut, Heal, Delay, DropReplies, Throttle, HalfOpen and Stall. Heal closes connections from which bytes were dropped, because the rest of their streams would be garbage. The half-open test of baobabpeer uses it. Types of baobabpeer and baobabmembership have moved to files of their own.

--- a/baobabmembership/digest.go
+++ b/baobabmembership/digest.go
@@ -7,12 +7,6 @@
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
-// A domainDigest is the sum of the hashes of a failure domain's live records.
-type domainDigest struct {
-	domain string
-	sum    uint64
-}
-
 // A Digest summarizes the live records of a table with one 64-bit value per failure domain. Dead and left records
 // are not part of it, because tables forget them at different times.
 type Digest struct {
--- a/baobabmembership/table.go
+++ b/baobabmembership/table.go
@@ -9,21 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// An entry is a record with what this table knows about it.
-type entry struct {
-	member   Member
-	position uint64    // On the ring.
-	hash     uint64    // Of the record.
-	since    time.Time // Start of the suspicion, or of the retention of a dead or left record.
-	hearsay  bool      // A dead or left record of a member that this table never knew as live; not passed on.
-}
-
-// A domain holds the live members of a failure domain. Domains without live members do not exist.
-type domain struct {
-	ring []*entry // Sorted by position.
-	sum  uint64   // Sum of the hashes, which does not depend on the order of changes.
-}
-
 // A Table is the view that a node has of the members. It is not safe for concurrent use: one controller owns it and
 // hands out what others read.
 type Table struct {
@@ -99,17 +84,6 @@
 	}
 }
 
-// index returns the place of an entry in the ring. Equal positions are ordered by id.
-func (d *domain) index(e *entry) int {
-	i, _ := slices.BinarySearchFunc(d.ring, e, func(a, b *entry) int {
-		if c := cmp.Compare(a.position, b.position); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.member.id, b.member.id)
-	})
-	return i
-}
-
 // Merge takes records that were received, in any order and any number of times, and returns what has changed. A
 // record replaces a known one with a lower incarnation or, at the same incarnation, with a state of lower
 // precedence. A record that contradicts the own one is refuted with a higher incarnation.
--- a/baobabpeer/counters.go
+++ b/baobabpeer/counters.go
@@ -6,14 +6,6 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// streamClass separates the bytes of calls from those of the control plane.
-type streamClass int32
-
-const (
-	classControl streamClass = iota
-	classCall
-)
-
 // Refusal reasons of links and streams, sorted.
 const (
 	refusedAccepted  = "accepted_links"
@@ -25,14 +17,6 @@
 	refusedStreams   = "streams"
 )
 
-// byteCounters count the traffic with one side of the failure domain's border.
-type byteCounters struct {
-	linkIn    *metrics.Counter // Everything on the connection, including handshakes and keepalives.
-	linkOut   *metrics.Counter
-	streamIn  [2]*metrics.Counter // Frames, by streamClass.
-	streamOut [2]*metrics.Counter
-}
-
 // counters hold all metrics of a transport.
 type counters struct {
 	set       *metrics.Set
--- a/baobabpeer/transport.go
+++ b/baobabpeer/transport.go
@@ -13,12 +13,6 @@
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
-// A dial is an attempt to establish a link that any number of callers wait for.
-type dial struct {
-	done chan struct{} // Closed after err is set.
-	err  error
-}
-
 // A Transport holds the links of a node. It is safe for concurrent use. It counts into the metrics
 // baobab_peer_links_opened_total, baobab_peer_links_closed_total, baobab_peer_redials_total,
 // baobab_peer_refused_total, baobab_peer_link_bytes_total and baobab_peer_stream_bytes_total.
--- a/baobabpeer/transport_test.go
+++ b/baobabpeer/transport_test.go
@@ -8,12 +8,12 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
+	"github.com/baobabdale/baobabdale/baobabfault"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
@@ -441,45 +441,28 @@
 	eventually(t, "idle links closed", func() bool { n, _ := c.Links(); return n == 0 })
 }
 
-// TestHalfOpenLink guards against a link on which the other side has silently disappeared.
+// TestHalfOpenLink guards against a link on which the other side has silently disappeared, and against a dial that
+// such an address holds up.
 func TestHalfOpenLink(t *testing.T) {
 	_, address := serve(t, sharedKey(t, testKey), func(ctx context.Context, _ *Stream) { <-ctx.Done() })
-	var silent atomic.Bool
-	c := client(t, sharedKey(t, testKey), WithKeepAlive(50*time.Millisecond),
-		WithDial(func(_ context.Context, a string) (net.Conn, error) {
-			n, err := net.Dial("tcp", a)
-			return &silencedConn{Conn: n, silent: &silent}, err
-		}))
-	s, err := c.Open(t.Context(), address)
+	proxy, err := baobabfault.Listen("127.0.0.1:0", address, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	silent.Store(true)
+	defer proxy.Close()
+	c := client(t, sharedKey(t, testKey), WithKeepAlive(50*time.Millisecond), WithDialTimeout(500*time.Millisecond))
+	s, err := c.Open(t.Context(), proxy.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	proxy.HalfOpen()
 	if _, err := s.Receive(); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("Receive() on a half-open link = %v, want unexpected EOF", err)
 	}
-}
-
-// A silencedConn drops all traffic in both directions while it is silent.
-type silencedConn struct {
-	net.Conn
-	silent *atomic.Bool
-}
-
-func (c *silencedConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silent.Load() {
-			return n, err
-		}
-	}
-}
-
-func (c *silencedConn) Write(b []byte) (int, error) {
-	if c.silent.Load() {
-		return len(b), nil
+	if _, err := c.Open(t.Context(), proxy.Address()); kindOf(err) != KindUnreachable {
+		t.Errorf("Open() to a half-open address = %v, want kind unreachable", err)
 	}
-	return c.Conn.Write(b)
 }
 
 // TestByteCounters guards against traffic that is counted for the wrong class or failure domain.
