--- /dev/null
+++ b/baobabclaim/digest.go
@@ -0,0 +1,21 @@
+package baobabclaim
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// A Digest identifies the content of a request.
+type Digest [sha256.Size]byte
+
+// NewDigest returns the digest of a request. Header fields are left out, because they differ between two sendings
+// of one request.
+func NewDigest(method, target string, body []byte) Digest {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(method), []byte(target), body} {
+		// The length keeps the parts apart.
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		h.Write(part)
+	}
+	return Digest(h.Sum(nil))
+}
--- /dev/null
+++ b/baobabclaim/record.go
@@ -0,0 +1,58 @@
+package baobabclaim
+
+import "net/http"
+
+// maxRecordedBody is the size in bytes up to which the body of an answer is recorded.
+const maxRecordedBody = 16 << 10
+
+// maxRecordedHeader is the size in bytes up to which header fields are recorded, so that rows stay small.
+const maxRecordedHeader = 4 << 10
+
+// recordedFields are the header fields that describe the recorded body, or that the caller needs of the answer.
+func recordedFields() []string {
+	return []string{"Content-Encoding", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location"}
+}
+
+// A Record is the answer that a repeated key gets.
+type Record struct {
+	status   int
+	header   http.Header // Only recorded fields; nil when not complete.
+	body     []byte      // Nil when not complete.
+	complete bool        // False when only the status was recorded.
+}
+
+// NewRecord returns the record of an answer. Of an answer that is too large only the status is recorded.
+func NewRecord(status int, header http.Header, body []byte) Record {
+	selected := http.Header{}
+	size := 0
+	for _, name := range recordedFields() {
+		values := header.Values(name)
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+		if len(values) > 0 {
+			selected[name] = values
+		}
+	}
+	if len(body) > maxRecordedBody || size > maxRecordedHeader {
+		return NewStatusRecord(status)
+	}
+	return Record{status: status, header: selected, body: body, complete: true}
+}
+
+// NewStatusRecord returns a record of the status alone.
+func NewStatusRecord(status int) Record {
+	return Record{status: status}
+}
+
+// Status returns the HTTP status code.
+func (r Record) Status() int { return r.status }
+
+// Header returns the recorded header fields; it must not be changed.
+func (r Record) Header() http.Header { return r.header }
+
+// Body returns the recorded body; it must not be changed.
+func (r Record) Body() []byte { return r.body }
+
+// Complete reports whether header and body were recorded.
+func (r Record) Complete() bool { return r.complete }
