node: the whole path as separate processes, with a mesh on loopback to show and test it

Cause: the packages existed on their own; nothing carried a configuration or a call from end to end. The quarantine is not wired yet.

--- a/baobabcommand/noderun.go
+++ b/baobabcommand/noderun.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"os"
 
-	"github.com/pkg/errors"
-
+	"github.com/baobabdale/baobabdale/baobabnode"
 	"github.com/baobabdale/baobabdale/baobabsettings"
 )
 
 // RunNode runs a node until ctx ends, then stops it gracefully.
-func RunNode(_ context.Context, s *baobabsettings.Settings) error {
-	return errors.Errorf("run node %s: this build has no node", s.Node().ID())
+func RunNode(ctx context.Context, s *baobabsettings.Settings) error {
+	n, err := baobabnode.New(s, NewLogger(os.Stderr, s.Log()))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
 }
--- a/baobabemulator/meshspec.go
+++ b/baobabemulator/meshspec.go
@@ -7,13 +7,12 @@
 
 // A MeshService is a service of a mesh and how its upstreams behave.
 type MeshService struct {
-	name           string
-	upstreams      int // Spread over the failure domains in turn.
-	slots          int
-	connections    int
-	serviceTime    time.Duration // Mean.
-	serviceTimeDev time.Duration // Standard deviation.
-	warmUp         time.Duration
+	name        string
+	upstreams   int // Spread over the failure domains in turn.
+	slots       int
+	connections int
+	serviceTime time.Duration // Mean.
+	warmUp      time.Duration
 }
 
 // NewMeshService returns a service whose upstreams take about serviceTime per call.
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -3,20 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	admission "github.com/baobabdale/baobabdale/baobabadmission"
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	call "github.com/baobabdale/baobabdale/baobabcall"
 	claim "github.com/baobabdale/baobabdale/baobabclaim"
-	quarantine "github.com/baobabdale/baobabdale/baobabquarantine"
 	upstream "github.com/baobabdale/baobabdale/baobabupstream"
 )
 
@@ -37,13 +34,6 @@
 	rank       string
 	deadline   time.Time // On this node's clock.
 	idempotent bool
-	policy     quarantinePolicy
-}
-
-// quarantinePolicy says when a fingerprint is quarantined.
-type quarantinePolicy struct {
-	after  int
-	period time.Duration
 }
 
 // keyed reports whether the call runs under a claim.
@@ -51,11 +41,6 @@
 	return !r.idempotent && r.call.IdempotencyKey() != ""
 }
 
-// fingerprint identifies calls that are equal for the upstream.
-func (r *admissionRequest) fingerprint() quarantine.Fingerprint {
-	return quarantine.NewFingerprint(r.service, r.call.Method(), r.call.Target(), sha256.Sum256(r.call.Body()))
-}
-
 // An Admitter admits calls to the upstream on this VM: it checks the quarantine, claims idempotency keys, queues,
 // and hands calls to the upstream.
 type Admitter struct {
@@ -65,7 +50,6 @@
 	quarantine *quarantineController
 	now        func() time.Time
 	logger     *log.Logger
-	metrics    *metrics.Set
 
 	finishing sync.WaitGroup // Records of answers that are being written.
 }
@@ -92,7 +76,7 @@
 	if !now.Before(r.deadline) {
 		return call.NewRefusal(call.ReasonDeadlinePassed, call.OutcomeNotRun, "the deadline passed before admission")
 	}
-	if left, refused := a.quarantine.refused(now, r.fingerprint()); refused {
+	if left, refused := a.quarantine.refused(now, r); refused {
 		return call.NewRefusal(call.ReasonQuarantined, call.OutcomeNotRun,
 			"equal requests crashed upstreams").WithRetryAfter(left)
 	}
@@ -112,7 +96,7 @@
 func (a *Admitter) admitKeyed(ctx context.Context, now time.Time, r *admissionRequest) (*call.Answer, *call.Refusal) {
 	key := claim.NewKey(r.service, r.call.Caller(), r.call.IdempotencyKey())
 	claimCtx, cancel := context.WithDeadline(ctx, earlier(r.deadline, now.Add(claimTimeout)))
-	result, err := a.ledger.Claim(claimCtx, now, key, requestDigest(r.call))
+	result, err := a.ledger.Claim(claimCtx, now, key, claim.NewDigest(r.call.Method(), r.call.Target(), r.call.Body()))
 	cancel()
 	if err != nil {
 		a.logger.Warn("claim failed", "call", r.call.ID(), "err", err)
@@ -207,7 +191,10 @@
 
 // finish records the answer in the background; until then a repeated request is answered as in progress.
 func (a *Admitter) finish(granted claim.Granted, answer *call.Answer, body *admittedBody) {
-	record := claim.NewRecord(answer.Status(), answer.Header(), body.kept.Bytes(), body.overflow)
+	record := claim.NewStatusRecord(answer.Status())
+	if !body.overflow {
+		record = claim.NewRecord(answer.Status(), answer.Header(), body.kept.Bytes())
+	}
 	a.finishing.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
@@ -247,7 +234,7 @@
 
 // replay answers with the record of an earlier call under the same key.
 func replay(record claim.Record) (*call.Answer, *call.Refusal) {
-	if record.Truncated() {
+	if !record.Complete() {
 		return nil, call.NewRefusal(call.ReasonInProgress, call.OutcomeRan, "the request was run; its answer is too large to be kept")
 	}
 	return call.NewReplayedAnswer(record.Status(), record.Header(), io.NopCloser(bytes.NewReader(record.Body()))), nil
--- a/baobabnode/body.go
+++ b/baobabnode/body.go
@@ -9,10 +9,12 @@
 	"time"
 
 	call "github.com/baobabdale/baobabdale/baobabcall"
-	claim "github.com/baobabdale/baobabdale/baobabclaim"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
 )
 
+// maxKeptBytes bounds the answer that is kept for the record of a claim, which is limited to as much.
+const maxKeptBytes = 16 << 10
+
 // admittedBody passes the body of an upstream's answer on and reports once how it ended.
 type admittedBody struct {
 	inner io.ReadCloser
@@ -20,7 +22,7 @@
 	once  sync.Once
 
 	keep     bool         // Whether the body is kept for the record of the claim.
-	kept     bytes.Buffer // The first bytes, at most claim.MaxAnswerBytes.
+	kept     bytes.Buffer // The first bytes, at most maxKeptBytes.
 	overflow bool         // Whether the body is longer than what was kept.
 }
 
@@ -44,7 +46,7 @@
 }
 
 func (b *admittedBody) record(p []byte) {
-	if b.overflow || b.kept.Len()+len(p) > claim.MaxAnswerBytes {
+	if b.overflow || b.kept.Len()+len(p) > maxKeptBytes {
 		b.overflow = true
 		return
 	}
--- a/baobabnode/broadcaster.go
+++ b/baobabnode/broadcaster.go
@@ -99,7 +99,7 @@
 
 func (b *broadcaster) send(m *wire.Broadcast, to membership.Member, r membership.Range) bool {
 	m.FailureDomain, m.RangeStart, m.RangeEnd = r.Domain(), r.Start(), r.End()
-	ctx, cancel := context.WithTimeout(b.tomb.Context(nil), broadcastTimeout)
+	ctx, cancel := context.WithTimeout(b.tomb.Context(context.Background()), broadcastTimeout)
 	defer cancel()
 	_, err := b.transport.Request(ctx, to.PeerAddress(), &wire.Envelope{Body: &wire.Envelope_Broadcast{Broadcast: m}})
 	if err != nil {
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -188,7 +188,7 @@
 	s, err := c.book.Load(ctx, head)
 	if err != nil {
 		if release.KindOf(err) == release.KindInvalid {
-			c.reject(head.Version(), err)
+			return number, c.reject(head.Version(), err)
 		}
 		return number, err
 	}
--- a/baobabnode/counters.go
+++ b/baobabnode/counters.go
@@ -22,19 +22,21 @@
 func newCounters(set *metrics.Set, retryReasons []string) *counters {
 	c := &counters{set: set, refusals: map[string]*metrics.Counter{}, retries: map[string]*metrics.Counter{}}
 	for _, r := range call.Reasons() {
-		c.refusals[string(r)] = set.NewCounter(fmt.Sprintf(`baobabdale_refusals_total{reason=%q}`, r))
+		c.refusals[string(r)] = set.NewCounter(fmt.Sprintf(`baobab_ingress_refusals_total{reason=%q}`, r))
 	}
 	for _, r := range retryReasons {
-		c.retries[r] = set.NewCounter(fmt.Sprintf(`baobabdale_retries_total{reason=%q}`, r))
+		c.retries[r] = set.NewCounter(fmt.Sprintf(`baobab_ingress_retries_total{reason=%q}`, r))
 	}
 	return c
 }
 
 // refused counts a refusal that was sent to a caller.
-func (c *counters) refused(r call.Reason) { c.add(c.refusals, "baobabdale_refusals_total", string(r)) }
+func (c *counters) refused(r call.Reason) {
+	c.add(c.refusals, "baobab_ingress_refusals_total", string(r))
+}
 
 // retried counts an attempt after the first, or a retry that was stopped, by its reason.
-func (c *counters) retried(reason string) { c.add(c.retries, "baobabdale_retries_total", reason) }
+func (c *counters) retried(reason string) { c.add(c.retries, "baobab_ingress_retries_total", reason) }
 
 func (c *counters) refusalCounts() map[string]uint64 { return c.counts(c.refusals) }
 
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -28,7 +28,7 @@
 	board          *blackboard.Board
 	chooser        *route.Chooser
 	signals        *route.Signals
-	budgets        *blackboard.Map[string, *route.Budget] // By service.
+	budgets        *blackboard.Map[budgetKey, *route.Budget]
 	admitter       *Admitter
 	remote         *remoteNodes
 	self           string
@@ -41,6 +41,12 @@
 	randoms        sync.Pool // Of *rand.Rand, which is not safe for concurrent use.
 }
 
+// A budgetKey identifies a retry budget.
+type budgetKey struct {
+	service string
+	percent int
+}
+
 // A routedCall is a call with what its route says.
 type routedCall struct {
 	request     *admissionRequest
@@ -199,18 +205,19 @@
 	return earlier(d, c.Deadline())
 }
 
-// budget returns the retry budget of a service.
+// budget returns the retry budget of a service. A changed percentage starts a new budget.
 func (g *Ingress) budget(service string, percent int) *route.Budget {
-	if b, ok := g.budgets.Get(service); ok && b.Percent() == percent {
+	key := budgetKey{service: service, percent: percent}
+	if b, ok := g.budgets.Get(key); ok {
 		return b
 	}
 	var budget *route.Budget
-	g.budgets.Update(service, func(old *route.Budget, found bool) (*route.Budget, bool) {
-		if !found || old.Percent() != percent {
-			old = route.NewBudget(percent)
-		}
+	g.budgets.Update(key, func(old *route.Budget, found bool) (*route.Budget, bool) {
 		budget = old
-		return old, true
+		if !found {
+			budget = route.NewBudget(percent)
+		}
+		return budget, true
 	})
 	return budget
 }
--- a/baobabnode/members.go
+++ b/baobabnode/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -15,8 +16,9 @@
 	board *blackboard.Board
 	self  string
 
-	mu    sync.Mutex
-	table *membership.Table // Guarded by mu.
+	mu     sync.Mutex
+	table  *membership.Table     // Guarded by mu.
+	places map[netip.Addr]string // Guarded by mu; failure domain by IP address of the peer address.
 }
 
 func newMembers(board *blackboard.Board, table *membership.Table) *members {
@@ -46,7 +48,11 @@
 // index requires mu.
 func (m *members) index() {
 	byService := make(map[string][]route.Candidate)
+	m.places = make(map[netip.Addr]string)
 	for _, v := range m.table.Members() {
+		if a, err := netip.ParseAddrPort(v.PeerAddress()); err == nil {
+			m.places[a.Addr()] = v.FailureDomain()
+		}
 		e, ok := v.Endpoint()
 		if !ok || !takesCalls(e.State()) {
 			continue
@@ -85,6 +91,17 @@
 	return m.table.Ranked(purpose, domain)
 }
 
+// domainOf returns the failure domain of the VM with an address, or an empty text.
+func (m *members) domainOf(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.places[a.Addr()]
+}
+
 func (m *members) domains() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -165,6 +165,21 @@
 	return ack.GetFrom() == target.ID()
 }
 
+// witness asks a member for its version and the highest version that it has heard of; it returns nil without an
+// answer.
+func (c *membershipController) witness(ctx context.Context, m membership.Member) *wire.ProbeAck {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	reply, err := c.transport.Request(ctx, m.PeerAddress(), &wire.Envelope{Body: &wire.Envelope_Probe{Probe: &wire.Probe{
+		From: c.members.self, Version: toWireVersion(c.board.Version()),
+	}}})
+	if err != nil {
+		return nil
+	}
+	c.merge(reply.GetProbeAck().GetUpdates())
+	return reply.GetProbeAck()
+}
+
 // probeIndirectly reports whether a member answers other members.
 func (c *membershipController) probeIndirectly(ctx context.Context, target membership.Member) bool {
 	var relays []membership.Member
@@ -193,7 +208,9 @@
 // answerProbe answers a probe. A member that is known as dead or suspect is told so, and refutes it.
 func (c *membershipController) answerProbe(m *wire.Probe) *wire.ProbeAck {
 	c.merge(m.GetUpdates())
-	ack := &wire.ProbeAck{From: c.members.self, Version: toWireVersion(c.board.Version()), Alive: true}
+	ack := &wire.ProbeAck{
+		From: c.members.self, Version: toWireVersion(c.board.Version()), Alive: true, HighestSeen: c.board.Highest(),
+	}
 	from, ok := c.members.member(m.GetFrom())
 	if !ok {
 		return ack
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,6 +26,7 @@
 	maxBody       int64
 	now           func() time.Time
 	logger        *log.Logger
+	calls         sync.WaitGroup // Calls that are being answered.
 }
 
 // ServeStream implements peer.Handler.
@@ -96,6 +98,8 @@
 
 // serveCall admits a call and streams the answer back. A body that is not sent whole is reset, never ended.
 func (h *peerHandler) serveCall(ctx context.Context, s *peer.Stream, c *wire.Call) {
+	h.calls.Add(1)
+	defer h.calls.Done()
 	r, err := receiveCall(h.now(), s, c, h.maxBody)
 	if err != nil {
 		h.logger.Warn("call not received", "call", c.GetId(), "err", err)
--- /dev/null
+++ b/baobabnode/starter.go
@@ -0,0 +1,206 @@
+package baobabnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
+)
+
+const (
+	// joinAttempts is how many addresses a starting node tries at the same time.
+	joinAttempts = 3
+	// joinTimeout bounds one join.
+	joinTimeout = 2 * time.Second
+	// startPause is the pause between two rounds of starting, with jitter.
+	startPause = 200 * time.Millisecond
+	// startJitter spreads nodes that start in the same moment.
+	startJitter = 200 * time.Millisecond
+	// withoutPlatform is how long a node waits for the platform before it trusts its peers alone.
+	withoutPlatform = 3 * time.Second
+	// witnesses is how many members are asked for the highest version besides the ring successors, which have
+	// heard the version of this node's last run in its probes.
+	witnesses = 3
+)
+
+// A starter brings a node into the mesh: it joins, and finds the highest version before the node serves. A node
+// keeps nothing over a restart, so this is what keeps it from going back to an older version.
+type starter struct {
+	members       *members
+	membership    *membershipController
+	configuration *configurationController
+	seeds         *seedBook
+	now           func() time.Time
+	logger        *log.Logger
+
+	mu     sync.Mutex
+	ready  bool   // Guarded by mu; never reset.
+	reason string // Guarded by mu; why the node is not ready.
+}
+
+func newStarter() *starter { return &starter{reason: "starting"} }
+
+// Ready implements operator.Readiness.
+func (s *starter) Ready(time.Time) (bool, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ready, s.reason
+}
+
+// run joins and waits until the node may serve.
+func (s *starter) run(ctx context.Context) error {
+	if !sleep(ctx, rand.N(startJitter)) {
+		return nil
+	}
+	begin := s.now()
+	joined := false
+	for ctx.Err() == nil {
+		joined = s.join(ctx) || joined
+		reason := s.confirm(ctx, s.now().Sub(begin))
+		s.set(reason)
+		if reason == "" {
+			s.logger.Info("ready", "after", s.now().Sub(begin), "joined", joined)
+			return nil
+		}
+		if !sleep(ctx, startPause+rand.N(startPause)) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// join asks seeds for the members unless some are known. It reports whether one answered.
+func (s *starter) join(ctx context.Context) bool {
+	if len(s.members.live()) > 1 {
+		return true
+	}
+	addresses := s.seeds.addresses(ctx)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(joinAttempts, len(addresses))]
+	answered := make([]bool, len(addresses))
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+			defer cancel()
+			reply, err := s.membership.join(ctx, address)
+			if err != nil {
+				s.logger.Debug("join failed", "address", address, "err", err)
+				return
+			}
+			s.configuration.board.RaiseHighest(reply.GetHighestSeen())
+			answered[i] = true
+		})
+	}
+	wg.Wait()
+	for _, ok := range answered {
+		if ok {
+			s.membership.announceSelf(func(*membership.Member) {})
+			return true
+		}
+	}
+	return false
+}
+
+// confirm returns why the node may not serve yet, or an empty text. The platform and a peer must have answered; the
+// platform is enough where no peer is known, and peers are enough when the platform has been away for a while.
+func (s *starter) confirm(ctx context.Context, waited time.Duration) string {
+	_, platformErr := s.configuration.loadHead(ctx, false)
+	asked, answered := s.askPeers(ctx)
+	if platformErr != nil && (answered == 0 || waited < withoutPlatform) {
+		return "the platform has not confirmed the version: " + platformErr.Error()
+	}
+	if platformErr == nil && asked > 0 && answered == 0 && waited < withoutPlatform {
+		return "no peer has confirmed the version"
+	}
+	version := s.configuration.board.Version().Number()
+	if version == 0 {
+		return "no configuration is in force"
+	}
+	highest := s.configuration.board.Highest()
+	if version < highest && s.configuration.rejectedNumber() != highest {
+		return "a newer version is known but not yet fetched"
+	}
+	return ""
+}
+
+// askPeers asks members for the highest version that they have heard of, and fetches it.
+func (s *starter) askPeers(ctx context.Context) (asked, answered int) {
+	targets := s.witnesses()
+	replies := make([]*wire.ProbeAck, len(targets))
+	var wg sync.WaitGroup
+	for i, m := range targets {
+		wg.Go(func() { replies[i] = s.membership.witness(ctx, m) })
+	}
+	wg.Wait()
+	var best *wire.Version
+	address := ""
+	for i, r := range replies {
+		if r == nil {
+			continue
+		}
+		answered++
+		s.configuration.board.RaiseHighest(r.GetHighestSeen())
+		if r.GetVersion().GetNumber() > best.GetNumber() {
+			best, address = r.GetVersion(), targets[i].PeerAddress()
+		}
+	}
+	if best.GetNumber() > s.configuration.board.Version().Number() {
+		if err := s.configuration.fetchFrom(ctx, address, best.GetNumber()); err != nil {
+			s.logger.Debug("version not fetched", "err", err)
+		}
+	}
+	return len(targets), answered
+}
+
+// witnesses returns the ring successors and a few random members of the own failure domain, or of another one where
+// this is the first.
+func (s *starter) witnesses() []membership.Member {
+	var targets []membership.Member
+	s.members.do(func(t *membership.Table) []membership.Change {
+		targets = t.ProbeTargets()
+		return nil
+	})
+	seen := map[string]bool{s.members.self: true}
+	for _, m := range targets {
+		seen[m.ID()] = true
+	}
+	own := s.members.selfRecord().FailureDomain()
+	var near, far []membership.Member
+	for _, m := range s.members.live() {
+		switch {
+		case seen[m.ID()]:
+		case m.FailureDomain() == own:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	others := append(near, far...)
+	return append(targets, others[:min(witnesses, len(others))]...)
+}
+
+func (s *starter) set(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready, s.reason = reason == "", reason
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/baobabnode/wirecall.go
+++ b/baobabnode/wirecall.go
@@ -1,8 +1,6 @@
 package baobabnode
 
 import (
-	"crypto/sha256"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -12,22 +10,10 @@
 
 	admission "github.com/baobabdale/baobabdale/baobabadmission"
 	call "github.com/baobabdale/baobabdale/baobabcall"
-	claim "github.com/baobabdale/baobabdale/baobabclaim"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
-// requestDigest identifies a request for its idempotency key.
-func requestDigest(c *call.Call) claim.Digest {
-	h := sha256.New()
-	for _, part := range []string{c.Method(), c.Host(), c.Target()} {
-		_, _ = io.WriteString(h, part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(c.Body())
-	return claim.Digest(h.Sum(nil))
-}
-
 // pathOf returns the first segment of a target's path. It groups calls of similar cost.
 func pathOf(target string) string {
 	path, _, _ := strings.Cut(target, "?")
--- a/baobabpeer/certificates.go
+++ b/baobabpeer/certificates.go
@@ -31,6 +31,11 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, newError("load certificates", KindRefused, errors.New("no authority in "+authorityFile))
 	}
+	return NewCertificates(pair, pool, serverName), nil
+}
+
+// NewCertificates returns credentials of a certificate that was read before.
+func NewCertificates(pair tls.Certificate, pool *x509.CertPool, serverName string) *Certificates {
 	pairs := []tls.Certificate{pair}
 	return &Certificates{
 		client: &tls.Config{
@@ -40,7 +45,7 @@
 			MinVersion: tls.VersionTLS13, Certificates: pairs, ClientCAs: pool,
 			ClientAuth: tls.RequireAndVerifyClientCert,
 		},
-	}, nil
+	}
 }
 
 func (c *Certificates) dialled(ctx context.Context, n net.Conn) (net.Conn, error) {
--- a/baobabsettings/listen.go
+++ b/baobabsettings/listen.go
@@ -8,6 +8,8 @@
 	peer     netip.AddrPort
 	operator netip.AddrPort
 	announce netip.AddrPort
+
+	advertise netip.AddrPort // What other nodes dial; the peer address unless set.
 }
 
 func readListen(r *reader) Listen {
@@ -17,8 +19,9 @@
 		operator: r.address("listen", "operator_address"),
 		announce: r.address("listen", "announce_address"),
 	}
-	if l.peer.IsValid() && l.peer.Addr().IsUnspecified() {
-		r.problem("listen", "peer_address", "%s is not an address that other nodes can dial", l.peer)
+	l.advertise = r.optionalAddress("listen", "peer_advertise_address", l.peer)
+	if l.advertise.IsValid() && l.advertise.Addr().IsUnspecified() {
+		r.problem("listen", "peer_address", "%s is not an address that other nodes can dial", l.advertise)
 	}
 	l.checkDistinct(r)
 	return l
@@ -53,3 +56,6 @@
 
 // Announce returns the address for announcements of the local upstream.
 func (l Listen) Announce() netip.AddrPort { return l.announce }
+
+// PeerAdvertise returns the address that other nodes dial.
+func (l Listen) PeerAdvertise() netip.AddrPort { return l.advertise }
--- a/baobabsettings/reader.go
+++ b/baobabsettings/reader.go
@@ -173,6 +173,15 @@
 	return r.parseAddress(section, key, v)
 }
 
+// optionalAddress returns the preset when the key is absent.
+func (r *reader) optionalAddress(section, key string, preset netip.AddrPort) netip.AddrPort {
+	v, ok := r.value(section, key)
+	if !ok {
+		return preset
+	}
+	return r.parseAddress(section, key, v)
+}
+
 func (r *reader) parseAddress(section, key, v string) netip.AddrPort {
 	a, err := netip.ParseAddrPort(v)
 	if err != nil {
