route: endpoint choice, ejection, retry decision and budget

Cause: ingress nodes choose endpoints with signals that are old and must not multiply load by retries.

Change: Chooser compares two random endpoints of the nearest tier by expected wait, with slow start, ejection of at most a third of a service and exclusion of tried endpoints. A Set per service is built when membership changes, so a choice does not look at all endpoints. DecideRetry is pure but for the budget; Budget counts live calls over at most and retries over at least 10 s.

Ruled out: least of all endpoints (herds on an endpoint that joins), one random endpoint (overloads a slow one).

--- /dev/null
+++ b/baobabroute/chooser_test.go
@@ -0,0 +1,230 @@
+package baobabroute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// candidates returns n warm endpoints with 6 slots named <domain>-0 and so on.
+func candidates(domain, region string, n int) []Candidate {
+	var cs []Candidate
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", domain, i)
+		cs = append(cs, NewCandidate(id, id+":1", domain, region, 6, time.Time{}))
+	}
+	return cs
+}
+
+// shares returns how often each endpoint is chosen in n choices.
+func shares(t *testing.T, c *Chooser, now time.Time, set *Set, n int, excluded func(string) bool) map[string]int {
+	t.Helper()
+	random := newRandom()
+	counts := map[string]int{}
+	for range n {
+		k, refusal := c.Choose(now, random, set, excluded)
+		if refusal != nil {
+			counts[string(refusal.Reason())]++
+			continue
+		}
+		counts[k.ID()]++
+	}
+	return counts
+}
+
+// TestTiers guards against calls that leave their failure domain without need, and against calls that stay in it
+// when it cannot take them.
+func TestTiers(t *testing.T) {
+	all := append(candidates("a", "r1", 3), candidates("b", "r1", 3)...)
+	all = append(all, candidates("c", "r2", 3)...)
+	eachOf := func(domain string, do func(id string)) {
+		for i := range 3 {
+			do(fmt.Sprintf("%s-%d", domain, i))
+		}
+	}
+	tests := []struct {
+		name  string
+		setUp func(s *Signals)
+		out   string // Excluded domain.
+		want  byte   // Domain of all choices; 0: refused.
+	}{
+		{"local", func(*Signals) {}, "", 'a'},
+		{"local excluded", func(*Signals) {}, "a", 'b'},
+		{"local draining", func(s *Signals) { eachOf("a", func(id string) { s.Draining(start, id) }) }, "", 'b'},
+		{"local waits long", func(s *Signals) {
+			eachOf("a", func(id string) { s.Reported(start, id, NewLoad(1, 6, 0, 50*time.Millisecond)) })
+		}, "", 'b'},
+		{"local over its limit", func(s *Signals) { eachOf("a", func(id string) { s.Reported(start, id, NewLoad(6, 6, 7, 0)) }) }, "", 'b'},
+		{"region over its limit", func(s *Signals) {
+			eachOf("a", func(id string) { s.Reported(start, id, NewLoad(6, 6, 7, 0)) })
+			eachOf("b", func(id string) { s.Reported(start, id, NewLoad(6, 6, 7, 0)) })
+		}, "", 'c'},
+		{"all over their limit", func(s *Signals) {
+			eachOf("a", func(id string) { s.Reported(start, id, NewLoad(6, 6, 7, 0)) })
+			eachOf("b", func(id string) { s.Reported(start, id, NewLoad(6, 6, 60, 0)) })
+			eachOf("c", func(id string) { s.Reported(start, id, NewLoad(6, 6, 60, 0)) })
+		}, "", 'a'},
+		{"one local is free", func(s *Signals) {
+			s.Reported(start, "a-0", NewLoad(6, 6, 60, 0))
+		}, "", 'a'},
+	}
+	for _, tt := range tests {
+		signals := NewSignals()
+		tt.setUp(signals)
+		set := NewSet("quotes", "a", "r1", all)
+		excluded := func(id string) bool { return tt.out != "" && id[0] == tt.out[0] }
+		for id := range shares(t, NewChooser(signals), start, set, 200, excluded) {
+			if id[0] != tt.want {
+				t.Errorf("%s: chose %s, want domain %c", tt.name, id, tt.want)
+			}
+		}
+	}
+}
+
+// TestNothingUsable guards against a choice that goes to an endpoint which must not get work.
+func TestNothingUsable(t *testing.T) {
+	signals := NewSignals()
+	signals.Draining(start, "a-0")
+	c := NewChooser(signals)
+	set := NewSet("quotes", "a", "r1", candidates("a", "r1", 2))
+	_, refusal := c.Choose(start, newRandom(), set, func(id string) bool { return id == "a-1" })
+	if refusal == nil || refusal.Reason() != call.ReasonNoUpstream || refusal.Outcome() != call.OutcomeNotRun {
+		t.Errorf("refusal = %v, want no_upstream, not_run", refusal)
+	}
+	if _, refusal = c.Choose(start, newRandom(), NewSet("quotes", "a", "r1", nil), nil); refusal == nil {
+		t.Error("choice from an empty set succeeded")
+	}
+	if k, refusal := c.Choose(start.Add(drainingMemory), newRandom(), set, func(id string) bool { return id == "a-1" }); refusal != nil || k.ID() != "a-0" {
+		t.Errorf("choice after the drain is forgotten = %v, %v", k, refusal)
+	}
+}
+
+// TestFastFailure guards against an endpoint that attracts work because it fails fast or refuses fast.
+func TestFastFailure(t *testing.T) {
+	for _, verdict := range []Verdict{VerdictFailure, VerdictRefused} {
+		signals := NewSignals()
+		c := NewChooser(signals)
+		set := NewSet("quotes", "a", "r1", candidates("a", "r1", 4))
+		random := newRandom()
+		now := start
+		bad, calls := 0, 2000
+		for range calls {
+			now = now.Add(time.Millisecond)
+			k, refusal := c.Choose(now, random, set, nil)
+			if refusal != nil {
+				t.Fatalf("Choose: %v", refusal)
+			}
+			signals.Started(now, k.ID())
+			if k.ID() == "a-0" {
+				bad++
+				c.Finished(now, set, k.ID(), NewResult(verdict, 10*time.Microsecond))
+				continue
+			}
+			c.Finished(now, set, k.ID(), NewResult(VerdictSuccess, 20*time.Millisecond))
+		}
+		if bad*20 > calls {
+			t.Errorf("verdict %d: failing endpoint got %d of %d calls, want at most a twentieth", verdict, bad, calls)
+		}
+	}
+}
+
+// TestSlowStart guards against a cold endpoint that gets a full share at once, or none.
+func TestSlowStart(t *testing.T) {
+	cs := candidates("a", "r1", 3)
+	cs = append(cs, NewCandidate("cold", "cold:1", "a", "r1", 6, start))
+	set := NewSet("quotes", "a", "r1", cs)
+	c := NewChooser(NewSignals())
+	const n = 8000
+	tests := []struct {
+		age      time.Duration
+		min, max int // Of n choices; a full share is 2000.
+	}{
+		{0, 100, 350},
+		{5 * time.Second, 800, 1400},
+		{10 * time.Second, 1800, 2200},
+	}
+	for _, tt := range tests {
+		got := shares(t, c, start.Add(tt.age), set, n, nil)["cold"]
+		if got < tt.min || got > tt.max {
+			t.Errorf("at age %v: %d of %d choices, want %d to %d", tt.age, got, n, tt.min, tt.max)
+		}
+	}
+	only := NewSet("quotes", "a", "r1", cs[3:])
+	if got := shares(t, c, start, only, 10, nil)["cold"]; got != 10 {
+		t.Errorf("only endpoint got %d of 10 calls", got)
+	}
+}
+
+// TestLoadIsCompared guards against a choice that ignores the load at the endpoints.
+func TestLoadIsCompared(t *testing.T) {
+	signals := NewSignals()
+	signals.Reported(start, "a-0", NewLoad(5, 6, 3, 0))
+	for range 4 {
+		signals.Started(start, "a-1")
+	}
+	got := shares(t, NewChooser(signals), start, NewSet("quotes", "a", "r1", candidates("a", "r1", 3)), 3000, nil)
+	if got["a-0"] != 0 || got["a-1"] >= got["a-2"] {
+		t.Errorf("shares = %v, want none for the loaded a-0 and most for the idle a-2", got)
+	}
+}
+
+// TestHangingEndpoint guards against an endpoint that keeps its good latency, and so its share, while it answers
+// nothing.
+func TestHangingEndpoint(t *testing.T) {
+	signals := NewSignals()
+	for i := range 3 {
+		id := fmt.Sprintf("a-%d", i)
+		signals.Started(start, id)
+		signals.Finished(start, id, NewResult(VerdictSuccess, 5*time.Millisecond))
+	}
+	signals.Started(start, "a-0")
+	c := NewChooser(signals)
+	set := NewSet("quotes", "a", "r1", candidates("a", "r1", 3))
+	if n := shares(t, c, start.Add(100*time.Millisecond), set, 300, nil)["a-0"]; n != 0 {
+		t.Errorf("endpoint that is silent for 100 ms got %d of 300 calls", n)
+	}
+	signals.Finished(start.Add(200*time.Millisecond), "a-0", NewResult(VerdictSuccess, 5*time.Millisecond))
+	if n := shares(t, c, start.Add(time.Second), set, 300, nil)["a-0"]; n == 0 {
+		t.Error("endpoint that answered gets no calls")
+	}
+}
+
+func benchmarkSets(services, endpoints int) []*Set {
+	sets := make([]*Set, services)
+	for i := range sets {
+		var cs []Candidate
+		for n := i; n < endpoints; n += services {
+			id := fmt.Sprintf("node-%d", n)
+			cs = append(cs, NewCandidate(id, id+":1", fmt.Sprint("d", n%24), fmt.Sprint("r", n%7), 6, time.Time{}))
+		}
+		sets[i] = NewSet(fmt.Sprint("service-", i), "d0", "r0", cs)
+	}
+	return sets
+}
+
+func benchmarkChoose(b *testing.B, services, endpoints int) {
+	signals := NewSignals()
+	sets := benchmarkSets(services, endpoints)
+	for n := range endpoints {
+		signals.Reported(start, fmt.Sprintf("node-%d", n), NewLoad(3, 6, 0, time.Millisecond))
+	}
+	c := NewChooser(signals)
+	random := newRandom()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if _, refusal := c.Choose(start, random, sets[i%services], nil); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+}
+
+func BenchmarkChoose4000Endpoints410Services(b *testing.B) { benchmarkChoose(b, 410, 4000) }
+
+func BenchmarkChoose4000EndpointsOneService(b *testing.B) { benchmarkChoose(b, 1, 4000) }
--- /dev/null
+++ b/baobabroute/main_test.go
@@ -0,0 +1,9 @@
+package baobabroute
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/baobabroute/retry_test.go
@@ -0,0 +1,155 @@
+package baobabroute
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+func refused(r call.Reason, o call.Outcome) Ending { return NewRefused(call.NewRefusal(r, o, "")) }
+
+// TestDecideRetry guards against retries that are unsafe or useless, and against safe ones that are not made.
+func TestDecideRetry(t *testing.T) {
+	later := start.Add(time.Second)
+	idempotent := WithIdempotent(true)
+	tests := []struct {
+		name    string
+		attempt Attempt
+		want    RetryDecision
+	}{
+		{"answered", NewAttempt(1, 3, later, Answered{}, idempotent), Stop{StopAnswered}},
+		{"not sent", NewAttempt(1, 3, later, NotSent{}), Retry{RetryNotSent}},
+		{"refused as not run", NewAttempt(1, 3, later, refused(call.ReasonQueueFull, call.OutcomeNotRun)), Retry{RetryRefused}},
+		{"draining", NewAttempt(1, 3, later, refused(call.ReasonDraining, call.OutcomeNotRun)), Retry{RetryRefused}},
+		{"caller's share", NewAttempt(1, 3, later, refused(call.ReasonCallerShare, call.OutcomeNotRun)), Stop{StopUseless}},
+		{"store unavailable", NewAttempt(1, 3, later, refused(call.ReasonStoreUnavailable, call.OutcomeNotRun)), Stop{StopUseless}},
+		{"quarantined", NewAttempt(1, 3, later, refused(call.ReasonQuarantined, call.OutcomeNotRun), idempotent), Stop{StopUseless}},
+		{"key in progress", NewAttempt(1, 3, later, refused(call.ReasonInProgress, call.OutcomeUnknown), idempotent), Stop{StopUseless}},
+		{"lost, idempotent", NewAttempt(1, 3, later, NewLost(false), idempotent), Retry{RetryLost}},
+		{"lost, not idempotent", NewAttempt(1, 3, later, NewLost(false)), Stop{StopUnsafe}},
+		{"refused as unknown, idempotent", NewAttempt(1, 3, later, refused(call.ReasonAnswerLost, call.OutcomeUnknown), idempotent), Retry{RetryLost}},
+		{"refused as unknown", NewAttempt(1, 3, later, refused(call.ReasonAnswerLost, call.OutcomeUnknown)), Stop{StopUnsafe}},
+		{"crash, idempotent", NewAttempt(1, 3, later, NewLost(true), idempotent), Stop{StopCrash}},
+		{"reported crash, idempotent", NewAttempt(1, 3, later, refused(call.ReasonUpstreamFailed, call.OutcomeUnknown), idempotent), Stop{StopCrash}},
+		{"retried by an earlier hop", NewAttempt(1, 3, later, NotSent{}, WithRetriedEarlier(true)), Stop{StopRetriedEarlier}},
+		{"last attempt", NewAttempt(3, 3, later, NotSent{}), Stop{StopMaxAttempts}},
+		{"deadline", NewAttempt(1, 3, start, NotSent{}), Stop{StopDeadline}},
+		{"no deadline", NewAttempt(1, 3, time.Time{}, NotSent{}), Retry{RetryNotSent}},
+		{"no ending", NewAttempt(1, 3, later, nil, idempotent), Stop{StopUnsafe}},
+	}
+	for _, tt := range tests {
+		if got := DecideRetry(start, tt.attempt, NewBudget(10)); got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+	if got := DecideRetry(start, NewAttempt(1, 3, later, NotSent{}), NewBudget(10, WithFloor(0))); got != (Stop{StopBudget}) {
+		t.Errorf("empty budget: %+v", got)
+	}
+}
+
+func drawEnding(t *rapid.T) Ending {
+	switch rapid.IntRange(0, 3).Draw(t, "ending") {
+	case 0:
+		return Answered{}
+	case 1:
+		return NotSent{}
+	case 2:
+		return NewLost(rapid.Bool().Draw(t, "crashed"))
+	default:
+		outcome := rapid.SampledFrom([]call.Outcome{call.OutcomeNotRun, call.OutcomeUnknown}).Draw(t, "outcome")
+		return refused(rapid.SampledFrom(call.Reasons()).Draw(t, "reason"), outcome)
+	}
+}
+
+// TestRetryIsSafe guards against any retry of a call that may have run and is not idempotent, that may have crashed
+// its upstream, that an earlier hop retries, or that is out of attempts or time.
+func TestRetryIsSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := drawEnding(t)
+		idempotent, retried := rapid.Bool().Draw(t, "idempotent"), rapid.Bool().Draw(t, "retried")
+		number := rapid.IntRange(1, 5).Draw(t, "number")
+		deadline := start.Add(time.Duration(rapid.IntRange(-10, 10).Draw(t, "ms")) * time.Millisecond)
+		a := NewAttempt(number, 3, deadline, e, WithIdempotent(idempotent), WithRetriedEarlier(retried))
+		if _, ok := DecideRetry(start, a, NewBudget(100)).(Retry); !ok {
+			return
+		}
+		if retried || number >= 3 || !deadline.After(start) {
+			t.Fatalf("retry of %+v", a)
+		}
+		switch e := e.(type) {
+		case Answered:
+			t.Fatal("retry of an answered call")
+		case Lost:
+			if e.crashed || !idempotent {
+				t.Fatalf("unsafe retry of %+v", a)
+			}
+		case Refused:
+			if e.refusal.Outcome() == call.OutcomeUnknown && (!idempotent || e.refusal.Reason() == call.ReasonUpstreamFailed) {
+				t.Fatalf("unsafe retry after %v", e.refusal)
+			}
+		}
+	})
+}
+
+// TestBudget guards against more retries in any 10 s than the share of the live calls in the 10 s before.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const percent, floor = 20, 2
+		b := NewBudget(percent, WithFloor(floor))
+		var live, taken []time.Time
+		now := start
+		since := func(times []time.Time) int {
+			n := 0
+			for _, at := range times {
+				if now.Sub(at) < 10*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 50, 999, 1000, 3000, 11_000}).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "live") {
+				b.Live(now)
+				live = append(live, now)
+				continue
+			}
+			if !b.Take(now) {
+				continue
+			}
+			taken = append(taken, now)
+			if n, limit := since(taken), max(floor, percent*since(live)/100); n > limit {
+				t.Fatalf("%d retries in 10 s, limit %d of %d calls", n, limit, since(live))
+			}
+		}
+	})
+}
+
+// TestBudgetFloor guards against a budget that allows no retry at low traffic, or does not recover.
+func TestBudgetFloor(t *testing.T) {
+	b := NewBudget(10)
+	for i := range defaultFloor + 1 {
+		if got := b.Take(start); got != (i < defaultFloor) {
+			t.Errorf("retry %d allowed = %v", i+1, got)
+		}
+	}
+	if b.Take(start.Add(-time.Hour)) {
+		t.Error("a clock that goes back refills the budget")
+	}
+	if !b.Take(start.Add(retrySeconds * time.Second)) {
+		t.Error("budget does not recover")
+	}
+	for range 100 {
+		b.Live(start.Add(retrySeconds * time.Second))
+	}
+	n := 0
+	for b.Take(start.Add(retrySeconds * time.Second)) {
+		n++
+	}
+	if n != 9 {
+		t.Errorf("%d further retries for 100 calls at 10 percent, want 9", n)
+	}
+}
