--- a/baobabadmission/gate_test.go
+++ b/baobabadmission/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -172,3 +173,27 @@
 	held.Add(-1)
 	p.Release(time.Now(), Outcome(random.IntN(4)))
 }
+
+// BenchmarkGate measures the cost of one call: a free permit, and a permit that is handed from one of 64 waiting
+// callers to the next.
+func BenchmarkGate(b *testing.B) {
+	policy := NewPolicy([]Rank{NewRank("urgent", 0, 30, 0), NewRank("normal", 1, 15, 0)}, 128, 5)
+	for _, waiting := range []int{0, 64} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			g := NewGate(WithPolicy(policy), WithWarmUp(0, 1))
+			b.ReportAllocs()
+			var wg sync.WaitGroup
+			for i := range max(1, waiting) {
+				n := b.N / max(1, waiting)
+				r := NewRequest("urgent", string(rune('a'+i%8)), time.Time{}, "k")
+				wg.Go(func() {
+					for range n {
+						p, _ := g.Acquire(context.Background(), time.Now(), r)
+						p.Release(time.Now(), OutcomeSucceeded)
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
