--- a/baobabcommand/fakeservice_test.go
+++ b/baobabcommand/fakeservice_test.go
@@ -195,3 +195,7 @@
 	}
 	return fmt.Sprintf("%x", h.Sum(nil))[:16]
 }
+
+func (f *fakeService) Node(context.Context, time.Time) (operator.NodeView, error) {
+	return operator.NodeView{Node: "a"}, nil
+}
--- a/baobabnode/operatorservice.go
+++ b/baobabnode/operatorservice.go
@@ -117,6 +117,34 @@
 	return operator.Summarize(now, s.status.members.self, known, reports), nil
 }
 
+// Node implements operator.Service.
+func (s *operatorService) Node(context.Context, time.Time) (operator.NodeView, error) {
+	board := s.status.board
+	self := s.status.members.selfRecord()
+	v := operator.NodeView{
+		Node: self.ID(), FailureDomain: self.FailureDomain(), Highest: board.Highest(), Members: len(s.status.members.live()),
+		Routes: []operator.RouteView{}, Services: []string{}, Policies: []string{},
+	}
+	if r := board.Rejected(); r != nil {
+		v.Rejected, v.Reason = versionOf(r.Version()), r.Reason()
+	}
+	f := board.InForce()
+	if f == nil {
+		return v, nil
+	}
+	v.Version = versionOf(f.Version())
+	for _, r := range f.View().Routes() {
+		v.Routes = append(v.Routes, operator.RouteView{Name: r.Name(), Service: r.Service(), Policy: r.Policy()})
+	}
+	for _, r := range f.View().Services() {
+		v.Services = append(v.Services, r.Name())
+	}
+	for _, p := range f.View().Policies() {
+		v.Policies = append(v.Policies, p.Name())
+	}
+	return v, nil
+}
+
 func toResource(e release.Edit) operator.Resource {
 	return operator.Resource{
 		Kind: operator.Kind(e.Kind()), Name: e.Name(), Revision: uint64(e.Revision()), Text: json.RawMessage(e.Text()),
--- a/baobaboperator/client.go
+++ b/baobaboperator/client.go
@@ -171,6 +171,13 @@
 	return s, err
 }
 
+// Node returns what the node that answers has in force.
+func (c *Client) Node(ctx context.Context) (NodeView, error) {
+	var v NodeView
+	err := c.read(ctx, "node", "/v1/node", &v)
+	return v, err
+}
+
 func resourcePath(kind Kind, name string) string {
 	return "/v1/resources/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
 }
--- a/baobaboperator/fake_test.go
+++ b/baobaboperator/fake_test.go
@@ -146,3 +146,7 @@
 const deadAddress = "127.0.0.1:1"
 
 func unavailable() error { return NewError("fake", ErrorUnavailable, "down") }
+
+func (f *fakeService) Node(context.Context, time.Time) (NodeView, error) {
+	return NodeView{Node: "a"}, nil
+}
--- a/baobaboperator/server.go
+++ b/baobaboperator/server.go
@@ -81,6 +81,7 @@
 	v1.Handle(pat.Get("/diff"), s.handler("diff", s.diff))
 	v1.Handle(pat.Post("/accept"), s.handler("accept", s.accept))
 	v1.Handle(pat.Get("/status"), s.handler("status", s.status))
+	v1.Handle(pat.Get("/node"), s.handler("node", s.node))
 	return v1
 }
 
@@ -236,6 +237,17 @@
 	return result(s.service.Status(ctx, s.clock()))
 }
 
+// node reads the readiness first: a node that is ready stays so, and its version does not go back after that.
+func (s *Server) node(ctx context.Context, _ *http.Request) (any, error) {
+	ready, _ := s.readiness.Ready(s.clock())
+	v, err := s.service.Node(ctx, s.clock())
+	if err != nil {
+		return nil, err
+	}
+	v.Ready = ready
+	return v, nil
+}
+
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	writeText(w, http.StatusOK, "ok")
 }
--- a/baobaboperator/service.go
+++ b/baobaboperator/service.go
@@ -25,4 +25,6 @@
 	Accept(ctx context.Context, now time.Time, operationID, expectedDigest string) (Version, error)
 	// Status asks the nodes of all failure domains; nodes that do not answer in time are reported as unreachable.
 	Status(ctx context.Context, now time.Time) (Status, error)
+	// Node returns what this node itself has in force. It asks no other node.
+	Node(ctx context.Context, now time.Time) (NodeView, error)
 }
