node: a restarted node confirms the head with a conditional check before it serves

Cause: TestRestartAmongLaggingPeers cut fd3 off, accepted version 2 with the platform's reads frozen at version 1, killed fd1 and fd2, joined fd3 again and restarted one node of fd1. The platform's stale read and the lagging peers agreed on version 1, so the node served version 1 after it had served version 2 ("availability-1 went back from version 2 to 1"). Ruled out: asking more peers, because none that is alive knows version 2; keeping the version on the VM, which has no disk. Change: Book.Confirm sends a transaction that only has the condition that the head row is unchanged. The platform decides conditions on the current state. A starting node that is otherwise ready confirms the head so, and loads the current one if the read was stale. Conclusion: with the platform reachable a node cannot go back over a restart. Without the platform it depends on the peers that answer.

--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -173,32 +173,45 @@
 	}
 }
 
-// loadHead puts the version of the head in force when it is newer and, if spread is set, spreads it in the own
-// failure domain. It returns the number of the head.
-func (c *configurationController) loadHead(ctx context.Context, spread bool) (uint64, error) {
+// loadHead reads the head and puts its version in force when it is newer. If spread is set, it also spreads the
+// version in the own failure domain.
+func (c *configurationController) loadHead(ctx context.Context, spread bool) (release.Head, error) {
 	head, err := c.book.Head(ctx)
 	if err != nil {
-		return 0, err
+		return head, err
 	}
+	return head, c.load(ctx, head, spread)
+}
+
+// confirmHead puts the version of the head in force when a read has missed it.
+func (c *configurationController) confirmHead(ctx context.Context, read release.Head) error {
+	head, err := c.book.Confirm(ctx, read)
+	if err != nil {
+		return err
+	}
+	return c.load(ctx, head, false)
+}
+
+func (c *configurationController) load(ctx context.Context, head release.Head, spread bool) error {
 	number := head.Version().Number()
 	c.board.RaiseHighest(number)
 	if number <= c.board.Version().Number() || c.rejected(head.Version()) {
-		return number, nil
+		return nil
 	}
 	s, err := c.book.Load(ctx, head)
 	if err != nil {
 		if release.KindOf(err) == release.KindInvalid {
-			return number, c.reject(head.Version(), err)
+			return c.reject(head.Version(), err)
 		}
-		return number, err
+		return err
 	}
 	if err := c.install(s); err != nil {
-		return number, err
+		return err
 	}
 	if spread {
 		c.publish(false)
 	}
-	return number, nil
+	return nil
 }
 
 // fetch gets a version from the member that has it, else from another member, else from the platform.
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -110,14 +110,18 @@
 // confirm returns why the node may not serve yet, or an empty text. The platform and a peer must have answered; the
 // platform is enough where no peer is known, and peers are enough when the platform has been away for a while.
 func (s *starter) confirm(ctx context.Context, waited time.Duration) string {
-	_, platformErr := s.configuration.loadHead(ctx, false)
+	head, platformErr := s.configuration.loadHead(ctx, false)
 	asked, answered := s.askPeers(ctx)
-	if platformErr != nil && (answered == 0 || waited < withoutPlatform) {
-		return "the platform has not confirmed the version: " + platformErr.Error()
-	}
 	if platformErr == nil && asked > 0 && answered == 0 && waited < withoutPlatform {
 		return "no peer has confirmed the version"
 	}
+	if platformErr == nil {
+		// The read may have been stale, and the peers may lag behind the version of this node's last run.
+		platformErr = s.configuration.confirmHead(ctx, head)
+	}
+	if platformErr != nil && (answered == 0 || waited < withoutPlatform) {
+		return "the platform has not confirmed the version: " + platformErr.Error()
+	}
 	version := s.configuration.board.Version().Number()
 	if version == 0 {
 		return "no configuration is in force"
--- /dev/null
+++ b/baobabproof/versions_test.go
@@ -0,0 +1,148 @@
+package baobabproof
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/baobabdale/baobabdale/baobabemulator"
+	"github.com/baobabdale/baobabdale/baobaboperator"
+)
+
+// versions is a mesh whose nodes are asked all the time what they have in force.
+type versions struct {
+	*baobabemulator.Mesh
+	t        *testing.T
+	observer *baobabemulator.Observer
+	routes   int // Created by this test.
+}
+
+// startVersions starts a mesh of 13 nodes. When the test ends it checks what the nodes answered.
+func startVersions(t *testing.T, options ...baobabemulator.MeshOption) *versions {
+	t.Helper()
+	t.Parallel()
+	v := &versions{t: t, Mesh: startMesh(t, "booking", append(options, baobabemulator.WithMeshEmbeddedUpstreams())...)}
+	o, err := v.Observe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.observer = o
+	t.Cleanup(func() {
+		o.Close()
+		for _, violation := range o.Violations() {
+			t.Error(violation)
+		}
+		t.Logf("%d answers of nodes checked", o.Looks())
+	})
+	return v
+}
+
+// accept creates a route through the given nodes and accepts it.
+func (v *versions) accept(ctx context.Context, nodes ...*baobabemulator.MeshNode) (route string, number uint64) {
+	v.t.Helper()
+	v.routes++
+	route = fmt.Sprintf("r%d", v.routes)
+	c := v.changer(nodes...)
+	version, err := c.AcceptRoute(ctx, route, "availability")
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	return route, version.Number
+}
+
+func (v *versions) changer(nodes ...*baobabemulator.MeshNode) *baobabemulator.Changer {
+	v.t.Helper()
+	c, err := v.NewChanger(nodes...)
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	v.t.Cleanup(c.Close)
+	return c
+}
+
+// converge waits until the nodes, or all, are ready with a version, and logs how long that took.
+func (v *versions) converge(ctx context.Context, what string, number uint64, nodes ...*baobabemulator.MeshNode) {
+	v.t.Helper()
+	d, err := v.observer.WaitVersion(ctx, number, nodes...)
+	if err != nil {
+		v.t.Fatalf("%s: %v", what, err)
+	}
+	v.t.Logf("%s: version %d in force after %v", what, number, d.Round(time.Millisecond))
+}
+
+// members waits until each of the nodes, or all, knows a number of live members.
+func (v *versions) members(ctx context.Context, count int, nodes ...*baobabemulator.MeshNode) {
+	v.t.Helper()
+	what := fmt.Sprintf("%d members", count)
+	d, err := v.observer.Wait(ctx, what, func(n baobaboperator.NodeView) bool { return n.Members == count }, nodes...)
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	v.t.Logf("%s after %v", what, d.Round(time.Millisecond))
+}
+
+// serves checks that calls on a route are answered through each of the nodes.
+func (v *versions) serves(ctx context.Context, route string, nodes ...*baobabemulator.MeshNode) {
+	v.t.Helper()
+	caller := baobabemulator.NewCaller(v.t.Name() + route)
+	defer caller.Close()
+	for _, n := range nodes {
+		r := caller.Do(ctx, n.EntryURL(), baobabemulator.CallerRequest{Method: http.MethodGet, Path: baobabemulator.RoutePath(route)})
+		if !r.Answered() || r.Fault != "" {
+			v.t.Errorf("route %s through %s: status %d, refusal %q, fault %q, err %v", route, n.ID(), r.Status, r.Refusal, r.Fault, r.Err)
+		}
+	}
+}
+
+func (v *versions) platformFaults(ctx context.Context, fields string) {
+	v.t.Helper()
+	if err := v.SetPlatformFaults(ctx, fields); err != nil {
+		v.t.Fatal(err)
+	}
+}
+
+func (v *versions) start(nodes ...*baobabemulator.MeshNode) {
+	v.t.Helper()
+	for _, n := range nodes {
+		if err := n.Node().Start(); err != nil {
+			v.t.Fatal(err)
+		}
+	}
+}
+
+func kill(nodes ...*baobabemulator.MeshNode) {
+	for _, n := range nodes {
+		n.Node().Kill()
+	}
+}
+
+// TestRestartAmongLaggingPeers guards against a node that goes back over a restart: it keeps nothing, its platform
+// reads are stale, and the only peers that answer have not heard of its last version.
+func TestRestartAmongLaggingPeers(t *testing.T) {
+	v := startVersions(t)
+	ctx := timeout(t)
+	changer := v.changer(v.NodesIn(1)...)
+	current, lagging := append(v.NodesIn(1), v.NodesIn(2)...), v.NodesIn(3)
+	v.Cut(3)
+	if err := changer.SetRoute(ctx, "late", "availability"); err != nil {
+		t.Fatal(err)
+	}
+	v.platformFaults(ctx, `{"stale_reads": true}`)
+	version, err := changer.Accept(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.converge(ctx, "accepted without fd3", version.Number, current...)
+	kill(current...)
+	v.Heal(3)
+	v.start(current[0])
+	v.converge(ctx, "restarted among lagging peers", version.Number, current[0])
+	v.converge(ctx, "lagging peers", version.Number, lagging...)
+	v.start(current[1:]...)
+	v.converge(ctx, "all restarted", version.Number)
+	v.platformFaults(ctx, `{"stale_reads": false}`)
+	v.members(ctx, len(v.Nodes()))
+	v.serves(ctx, "late", v.Nodes()...)
+}
--- a/baobabrelease/book.go
+++ b/baobabrelease/book.go
@@ -139,6 +139,25 @@
 	return h, nil
 }
 
+// Confirm returns the version in effect for certain, where Head may have read an older state. It writes nothing, but
+// the platform serves it like a write.
+func (b *Book) Confirm(ctx context.Context, h Head) (Head, error) {
+	const operation = "confirm head"
+	_, err := b.store.Commit(ctx, platform.NewTransaction().IfRevision(headKey, h.revision).Build())
+	if err == nil {
+		return h, nil
+	}
+	r, ok := conflictingRow(err, headKey)
+	if !ok {
+		return Head{}, fromPlatform(operation, err)
+	}
+	current, err := headFromRow(r)
+	if err != nil {
+		return Head{}, newError(operation, KindInvalid, err)
+	}
+	return current, nil
+}
+
 // Load returns the snapshot that is in effect at the head. Before the first accept it is empty.
 func (b *Book) Load(ctx context.Context, h Head) (*configuration.Snapshot, error) {
 	const operation = "load snapshot"
