node: start and exchange try other nodes when most that are known are gone

Cause: after a mass failure most seed rows and records name nodes that are gone. A starting node tried three random seeds; when none answered it served alone, and only the exchange of a bridge with one random seed every 2 s brought it back. Exchanges ran inside the loop that probes, so an exchange with an unreachable node also held probes back by up to 3 s. Nodes that started in the same second joined through nodes that did not know each other, and found each other by exchanges 2 s apart. Change: joining goes on to the other seeds in growing batches, and goes on in the background for a node that serves alone; a round of exchanges tries up to three nodes, in a goroutine of its own; the first exchanges of a started node follow each other faster (250 ms, doubling to 2 s).

--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -23,6 +23,13 @@
 	bridges = 2
 	// bridgePurpose ranks the bridges.
 	bridgePurpose = "bridge"
+	// exchangeTries is how many nodes are tried in one round of exchanges. After a mass failure most members are gone
+	// and not yet known as dead.
+	exchangeTries = 3
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = time.Second
+	// firstExchanges divides the time to the first exchange of a started node. The time doubles until it is normal.
+	firstExchanges = 8
 	// pushedRecords is how many records go with one message after an exchange.
 	pushedRecords = 200
 	// maxJoinBytes bounds the decompressed records of a join reply: 4,000 members take less than 1 MiB.
@@ -48,10 +55,11 @@
 
 // run probes and exchanges until ctx ends.
 func (c *membershipController) run(ctx context.Context) error {
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
+	exchanges.Go(func() { c.exchangeRounds(ctx) })
 	probe := time.NewTicker(c.probeInterval)
 	defer probe.Stop()
-	exchange := time.NewTimer(c.jittered(c.exchangeEvery))
-	defer exchange.Stop()
 	var round sync.WaitGroup
 	defer round.Wait()
 	for {
@@ -62,13 +70,20 @@
 			c.handle(c.members.do(func(t *membership.Table) []membership.Change { return t.Expire(c.now()) }), true)
 			round.Wait() // Probes time out before the next tick, so that rounds do not overlap.
 			round.Go(func() { c.probeAll(ctx) })
-		case <-exchange.C:
-			c.exchangeRound(ctx)
-			exchange.Reset(c.jittered(c.exchangeEvery))
 		}
 	}
 }
 
+// exchangeRounds exchanges until ctx ends. The first rounds follow each other faster, because nodes that started at
+// the same time have joined through nodes that did not know each other yet.
+func (c *membershipController) exchangeRounds(ctx context.Context) {
+	interval := c.exchangeEvery / firstExchanges
+	for sleep(ctx, c.jittered(interval)) {
+		c.exchangeRound(ctx)
+		interval = min(2*interval, c.exchangeEvery)
+	}
+}
+
 // merge takes records from other members. Changes are not spread again, because their origin does that.
 func (c *membershipController) merge(records []*wire.Member) {
 	now := c.now()
@@ -236,43 +251,60 @@
 func (c *membershipController) exchangeRound(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), 0))
 	own := c.members.selfRecord().FailureDomain()
-	if m, ok := c.members.random(random, own); ok {
-		c.exchange(ctx, m.PeerAddress(), false)
-	}
+	c.exchangeAny(ctx, func() (string, bool) { return c.addressIn(random, own) }, false)
 	if !c.members.leads(bridgePurpose, bridges) {
 		return
 	}
-	var others []string
-	for _, d := range c.members.domains() {
-		if d != own {
-			others = append(others, d)
+	c.exchangeAny(ctx, func() (string, bool) {
+		var others []string
+		for _, d := range c.members.domains() {
+			if d != own {
+				others = append(others, d)
+			}
 		}
-	}
-	if len(others) > 0 {
-		if m, ok := c.members.random(random, others[random.IntN(len(others))]); ok {
-			c.exchange(ctx, m.PeerAddress(), true)
+		if len(others) == 0 {
+			return "", false
 		}
-	}
-	if address, ok := c.seeds.stranger(random); ok {
-		c.exchange(ctx, address, true)
+		return c.addressIn(random, others[random.IntN(len(others))])
+	}, true)
+	c.exchangeAny(ctx, func() (string, bool) { return c.seeds.stranger(random) }, true)
+}
+
+// exchangeAny exchanges with the first node that answers, of those that choose returns.
+func (c *membershipController) exchangeAny(ctx context.Context, choose func() (string, bool), foreign bool) {
+	for range exchangeTries {
+		address, ok := choose()
+		if !ok {
+			return
+		}
+		err := c.exchange(ctx, address, foreign)
+		if err == nil {
+			return
+		}
+		c.logger.Debug("exchange failed", "address", address, "err", err)
 	}
 }
 
+// addressIn returns the address of a random member of a failure domain.
+func (c *membershipController) addressIn(random *rand.Rand, domain string) (string, bool) {
+	m, ok := c.members.random(random, domain)
+	return m.PeerAddress(), ok
+}
+
 // exchange compares digests with another node and takes and gives the records that differ.
-func (c *membershipController) exchange(ctx context.Context, address string, foreign bool) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+func (c *membershipController) exchange(ctx context.Context, address string, foreign bool) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := c.transport.Request(ctx, address, &wire.Envelope{Body: &wire.Envelope_Exchange{Exchange: &wire.Exchange{
 		From: c.members.self, Version: toWireVersion(c.board.Version()), Digests: c.members.digest().Wire(),
 	}}})
 	if err != nil {
-		c.logger.Debug("exchange failed", "address", address, "err", err)
-		return
+		return errors.Wrap(err, "exchange")
 	}
 	m := reply.GetExchangeReply()
 	c.configuration.heard(m.GetVersion(), address, foreign)
 	if len(m.GetDiffering()) == 0 {
-		return
+		return nil
 	}
 	ours := c.newer(m.GetDiffering(), m.GetRecords())
 	c.merge(m.GetRecords())
@@ -282,10 +314,11 @@
 			From: c.members.self, Version: toWireVersion(c.board.Version()), Updates: membership.MembersToWire(c.now(), ours[:n]),
 		}}})
 		if err != nil {
-			return
+			return errors.Wrap(err, "exchange")
 		}
 		ours = ours[n:]
 	}
+	return nil
 }
 
 // newer returns the own records of the failure domains that the other node lacks or has with a lower incarnation or
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,10 +14,13 @@
 )
 
 const (
-	// joinAttempts is how many addresses a starting node tries at the same time.
+	// joinAttempts is how many addresses a starting node tries at the same time. While none answers, it tries twice
+	// as many of the others, because after a mass failure most seed rows name nodes that are gone.
 	joinAttempts = 3
 	// joinTimeout bounds one join.
-	joinTimeout = 2 * time.Second
+	joinTimeout = time.Second
+	// joinPauseMax bounds the pause between two rounds of joining of a node that serves alone.
+	joinPauseMax = 30 * time.Second
 	// startPause is the pause between two rounds of starting, with jitter.
 	startPause = 200 * time.Millisecond
 	// startJitter spreads nodes that start in the same moment.
@@ -52,22 +56,29 @@
 	return s.ready, s.reason
 }
 
-// run joins and waits until the node may serve.
+// run joins and waits until the node may serve. A node that serves without having found another one goes on looking.
 func (s *starter) run(ctx context.Context) error {
 	if !sleep(ctx, rand.N(startJitter)) {
 		return nil
 	}
 	begin := s.now()
-	joined := false
+	joined, ready := false, false
+	pause := startPause
 	for ctx.Err() == nil {
-		joined = s.join(ctx) || joined
-		reason := s.confirm(ctx, s.now().Sub(begin))
-		s.set(reason)
-		if reason == "" {
-			s.logger.Info("ready", "after", s.now().Sub(begin), "joined", joined)
+		joined = joined || s.join(ctx)
+		if !ready {
+			reason := s.confirm(ctx, s.now().Sub(begin))
+			s.set(reason)
+			if ready = reason == ""; ready {
+				s.logger.Info("ready", "after", s.now().Sub(begin), "joined", joined)
+			}
+		} else {
+			pause = min(2*pause, joinPauseMax)
+		}
+		if ready && joined {
 			return nil
 		}
-		if !sleep(ctx, startPause+rand.N(startPause)) {
+		if !sleep(ctx, pause+rand.N(pause)) {
 			return nil
 		}
 	}
@@ -81,30 +92,36 @@
 	}
 	addresses := s.seeds.addresses(ctx)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(joinAttempts, len(addresses))]
-	answered := make([]bool, len(addresses))
+	for count := joinAttempts; len(addresses) > 0; count *= 2 {
+		count = min(count, len(addresses))
+		if s.joinAny(ctx, addresses[:count]) {
+			s.membership.announceSelf(func(*membership.Member) {})
+			return true
+		}
+		addresses = addresses[count:]
+	}
+	return false
+}
+
+// joinAny joins through all of the addresses at the same time. It reports whether one answered.
+func (s *starter) joinAny(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var answered atomic.Bool
 	var wg sync.WaitGroup
-	for i, address := range addresses {
+	for _, address := range addresses {
 		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-			defer cancel()
 			reply, err := s.membership.join(ctx, address)
 			if err != nil {
 				s.logger.Debug("join failed", "address", address, "err", err)
 				return
 			}
 			s.configuration.board.RaiseHighest(reply.GetHighestSeen())
-			answered[i] = true
+			answered.Store(true)
 		})
 	}
 	wg.Wait()
-	for _, ok := range answered {
-		if ok {
-			s.membership.announceSelf(func(*membership.Member) {})
-			return true
-		}
-	}
-	return false
+	return answered.Load()
 }
 
 // confirm returns why the node may not serve yet, or an empty text. The platform and a peer must have answered; the
