node: fetch a version from another source when the member that spread it does not answer

Cause: TestAcceptedVersionIsInForce, case "accepting node unreachable for those that lack the base": fd3 misses version 2, and the node that accepts version 3 takes part in broadcasts but does not answer. The delta of version 3 has a base that fd3 lacks, so its nodes ask the accepting node, and one node at a time for 2 s each, in the loop that also reads the head. Ruled out: a shorter time limit alone, because links between failure domains vary. Change: a fetch asks the next source after 150 ms without an answer, or at once after a failure: the member that has the version, a member of the own failure domain, one of another, the platform. Reading the head, fetching and following the upstream are separate loops, so a slow platform does not hold fetches back. baobabproof imports the command package, because go test otherwise took cached results after changes of the product.

--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -17,6 +17,8 @@
 
 	"github.com/baobabdale/baobabdale/baobabfault"
 	"github.com/baobabdale/baobabdale/baobaboperator"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
 )
 
 const (
@@ -300,6 +302,18 @@
 	return baobaboperator.NewClient(addresses, meshToken)
 }
 
+// PeerTransport returns a transport that the nodes take for that of a node. The caller must close it.
+func (m *Mesh) PeerTransport() (*peer.Transport, error) {
+	key, err := peer.NewSharedKey([]byte(meshKey))
+	if err != nil {
+		return nil, errors.Wrap(err, "peer transport")
+	}
+	return peer.NewTransport(key), nil
+}
+
+// PlatformStore returns a client of the platform, not through a proxy. The caller must close it.
+func (m *Mesh) PlatformStore() (*platform.Client, error) { return platform.NewClient(m.PlatformURL()) }
+
 // WaitReady waits until each of the nodes, or all, report that they are ready.
 func (m *Mesh) WaitReady(ctx context.Context, nodes ...*MeshNode) error {
 	if len(nodes) == 0 {
--- a/baobabemulator/meshnode.go
+++ b/baobabemulator/meshnode.go
@@ -167,3 +167,6 @@
 	}
 	return nil
 }
+
+// PeerAddress returns the address at which other nodes reach the node, past its proxy.
+func (n *MeshNode) PeerAddress() string { return fmt.Sprintf("%s:%d", n.address, portPeer) }
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,8 +27,10 @@
 	headPurpose = "head"
 	// historyLength is how many recent versions a node keeps to answer with deltas.
 	historyLength = 8
-	// fetchTimeout bounds one request for a version.
+	// fetchTimeout bounds a fetch of a version from all sources.
 	fetchTimeout = 2 * time.Second
+	// fetchPatience is the time after which the next source is asked as well.
+	fetchPatience = 150 * time.Millisecond
 	// wantedQueue bounds the versions that wait to be fetched. What is dropped is heard of again in an exchange.
 	wantedQueue = 64
 )
@@ -57,21 +60,38 @@
 	history []*configuration.Snapshot // Guarded by mu; oldest first, the last one is in force.
 }
 
-// run fetches versions and reads the head until ctx ends.
+// run fetches versions and reads the head until ctx ends. A slow platform does not hold back what comes from members,
+// nor the other way round.
 func (c *configurationController) run(ctx context.Context) error {
-	poll := time.NewTicker(c.interval)
-	defer poll.Stop()
+	var loops sync.WaitGroup
+	loops.Go(func() { c.fetchWanted(ctx) })
+	loops.Go(func() { c.followUpstream(ctx) })
+	for sleep(ctx, c.interval) {
+		c.readHead(ctx)
+	}
+	loops.Wait()
+	return nil
+}
+
+func (c *configurationController) fetchWanted(ctx context.Context) {
 	for {
-		upstreamChanged := c.board.UpstreamChanged()
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case w := <-c.wanted:
 			c.fetch(ctx, w)
-		case <-poll.C:
-			c.readHead(ctx)
-		case <-upstreamChanged:
-			c.relabel()
+		}
+	}
+}
+
+func (c *configurationController) followUpstream(ctx context.Context) {
+	for {
+		changed := c.board.UpstreamChanged()
+		c.relabel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
 		}
 	}
 }
@@ -214,38 +234,80 @@
 	return nil
 }
 
-// fetch gets a version from the member that has it, else from another member, else from the platform.
+// fetch gets a version from the first source that has it. It asks the next source when one fails, or does not answer
+// for a while, because the member that has spread a version may be gone.
 func (c *configurationController) fetch(ctx context.Context, w wanted) {
 	if w.number <= c.board.Version().Number() {
 		return
 	}
-	addresses := []string{w.address}
-	random := rand.New(rand.NewPCG(rand.Uint64(), 0))
-	if other, ok := c.members.random(random, c.members.selfRecord().FailureDomain()); ok {
-		addresses = append(addresses, other.PeerAddress())
-	}
-	for _, address := range addresses {
-		if address == "" {
-			continue
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	sources := c.sources(w)
+	results := make(chan error, len(sources))
+	pending := 0
+	ask := func() {
+		if len(sources) == 0 {
+			return
 		}
-		err := c.fetchFrom(ctx, address, w.number)
-		if err == nil {
-			if w.foreign {
-				c.publish(false)
+		source := sources[0]
+		sources = sources[1:]
+		pending++
+		requests.Go(func() { results <- source(ctx) })
+	}
+	next := time.NewTicker(fetchPatience)
+	defer next.Stop()
+	for ask(); pending > 0; {
+		select {
+		case <-next.C:
+			ask()
+		case err := <-results:
+			pending--
+			if err == nil {
+				if w.foreign {
+					c.publish(false)
+				}
+				return
 			}
-			return
+			c.logger.Debug("version not fetched", "number", w.number, "err", err)
+			ask()
+		}
+	}
+}
+
+// sources returns where to ask for a version, in this order: the member that has it, a member of the own failure
+// domain, one of another, and the platform.
+func (c *configurationController) sources(w wanted) []func(context.Context) error {
+	var list []func(context.Context) error
+	add := func(address string) {
+		if address != "" {
+			list = append(list, func(ctx context.Context) error { return c.fetchFrom(ctx, address, w.number) })
 		}
-		c.logger.Debug("version not fetched", "number", w.number, "address", address, "err", err)
 	}
-	if _, err := c.loadHead(ctx, w.foreign); err != nil {
-		c.logger.Debug("version not loaded", "number", w.number, "err", err)
+	add(w.address)
+	random := rand.New(rand.NewPCG(rand.Uint64(), 0))
+	own := c.members.selfRecord().FailureDomain()
+	if m, ok := c.members.random(random, own); ok {
+		add(m.PeerAddress())
+	}
+	others := slices.DeleteFunc(c.members.domains(), func(d string) bool { return d == own })
+	if len(others) > 0 {
+		if m, ok := c.members.random(random, others[random.IntN(len(others))]); ok {
+			add(m.PeerAddress())
+		}
 	}
+	return append(list, func(ctx context.Context) error {
+		head, err := c.loadHead(ctx, false)
+		if err == nil && head.Version().Number() < w.number {
+			err = errors.Errorf("the head is at %d", head.Version().Number())
+		}
+		return err
+	})
 }
 
 // fetchFrom asks a member for the change to a version that is at least number.
 func (c *configurationController) fetchFrom(ctx context.Context, address string, number uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	reply, err := c.transport.Request(ctx, address, &wire.Envelope{Body: &wire.Envelope_FetchDelta{FetchDelta: &wire.FetchDelta{
 		Base: toWireVersion(c.board.Version()), AtLeast: number,
 	}}})
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -172,6 +172,8 @@
 		}
 	}
 	if best.GetNumber() > s.configuration.board.Version().Number() {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
 		if err := s.configuration.fetchFrom(ctx, address, best.GetNumber()); err != nil {
 			s.logger.Debug("version not fetched", "err", err)
 		}
--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	// The tests run the built product. The import makes go test run them again when the product has changed.
+	_ "github.com/baobabdale/baobabdale/baobabcommand"
 	"github.com/baobabdale/baobabdale/baobabemulator"
 )
 
--- a/baobabproof/versions_test.go
+++ b/baobabproof/versions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabdale/baobabdale/baobabemulator"
 	"github.com/baobabdale/baobabdale/baobaboperator"
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
 )
 
 // versions is a mesh whose nodes are asked all the time what they have in force.
@@ -96,6 +97,17 @@
 	}
 }
 
+// store returns a client of the platform that no fault proxy is in front of.
+func (v *versions) store() *platform.Client {
+	v.t.Helper()
+	s, err := v.PlatformStore()
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	v.t.Cleanup(s.Close)
+	return s
+}
+
 func (v *versions) platformFaults(ctx context.Context, fields string) {
 	v.t.Helper()
 	if err := v.SetPlatformFaults(ctx, fields); err != nil {
