node: a number that does not exist keeps no node from starting; rejection is by digest

Cause: TestRestartAfterWrongNumber sends a delta of version 103 on base 102 to a mesh at version 2, as a faulty node would. All nodes keep 103 as the highest number heard of, and a node that restarts waited for it for ever (not ready within 60 s). Change: a starting node that has confirmed the head with the platform does not wait for a higher number, because no accepted version has one. Without the platform it still waits. A version that was heard of is passed over only if its digest is the rejected one, not if it only has the same number: the broadcast of a faulty node may use the number of the next accepted version (found by reading; broadcasts and the head poll repaired it in the tests).

--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -99,7 +99,7 @@
 // heard takes note of a version at another member and has it fetched when it is newer.
 func (c *configurationController) heard(v *wire.Version, address string, foreign bool) {
 	c.board.RaiseHighest(v.GetNumber())
-	if v.GetNumber() <= c.board.Version().Number() || c.rejectedNumber() == v.GetNumber() {
+	if v.GetNumber() <= c.board.Version().Number() || c.hasRejected(v) {
 		return
 	}
 	select {
@@ -407,6 +407,13 @@
 	return r != nil && r.Version() == v
 }
 
+// hasRejected reports whether a version that was heard of is the last rejected one. Its number alone does not tell:
+// the broadcast of a faulty node may have brought another content under the number that is accepted next.
+func (c *configurationController) hasRejected(v *wire.Version) bool {
+	r := c.board.Rejected()
+	return r != nil && r.Version().Number() == v.GetNumber() && string(r.Version().Digest().Bytes()) == string(v.GetDigest())
+}
+
 // rejectedNumber returns the number of the last rejected version, or 0.
 func (c *configurationController) rejectedNumber() uint64 {
 	r := c.board.Rejected()
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -143,6 +143,10 @@
 	if version == 0 {
 		return "no configuration is in force"
 	}
+	if platformErr == nil {
+		// The version of the head is in force or rejected. A higher number that a peer has heard of does not exist.
+		return ""
+	}
 	highest := s.configuration.board.Highest()
 	if version < highest && s.configuration.rejectedNumber() != highest {
 		return "a newer version is known but not yet fetched"
