quarantine: refuse requests that crash upstreams on all nodes; clear those that run again

Cause: the quarantine was not wired. Two faults of its first form were seen on reading: a fingerprint without the query makes all lookups of one path equal, so that one crashing lookup would get all of them refused; and a frequent lookup that is in flight at two crashes of others would be refused for a minute. Change: the query belongs to the fingerprint; TestFingerprint said the opposite and is replaced by one that is as strict. Not measured yet: how many upstreams a crashing request takes down.

--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -151,7 +151,7 @@
 		return nil, call.NewRefusal(call.ReasonUpstreamUnavailable, call.OutcomeNotRun, "the upstream could not be reached")
 	case upstream.Died:
 		permit.Release(a.now(), admission.OutcomeFailed)
-		a.died(r, u, t.Reused())
+		a.died(r, u)
 		return nil, call.NewRefusal(call.ReasonUpstreamFailed, call.OutcomeUnknown, "the connection to the upstream failed while it ran the call")
 	case upstream.Cancelled:
 		permit.Release(a.now(), admission.OutcomeCancelled)
@@ -168,6 +168,7 @@
 // answered passes the answer on and, when it has been read, returns the permit and records the answer.
 func (a *Admitter) answered(r *admissionRequest, permit *admission.Permit, granted *claim.Granted, u *blackboard.Upstream, t *upstream.Answered) (*call.Answer, *call.Refusal) {
 	answer := t.Answer()
+	started := permit.Since()
 	outcome := admission.OutcomeSucceeded
 	if answer.Status() >= http.StatusInternalServerError {
 		outcome = admission.OutcomeFailed
@@ -180,9 +181,13 @@
 		}
 		permit.Release(a.now(), outcome)
 		if err := t.Failure(); err != nil && !ended(err) {
-			a.died(r, u, false)
+			a.died(r, u)
 		}
-		if granted != nil && complete {
+		if !complete {
+			return
+		}
+		a.quarantine.succeeded(a.now(), r, started)
+		if granted != nil {
 			a.finish(*granted, answer, body)
 		}
 	}
@@ -225,11 +230,11 @@
 	return call.NewRefusal(reason, call.OutcomeNotRun, detail)
 }
 
-// died reports a possible crash of the upstream. A connection that had served calls before may have been closed
-// as idle, which says nothing about the request.
-func (a *Admitter) died(r *admissionRequest, u *blackboard.Upstream, reused bool) {
+// died reports a possible crash of the upstream. A connection that had served calls before may have been closed as
+// idle, but a crash cannot be told from that, and a request that did not cause it is cleared by its next run.
+func (a *Admitter) died(r *admissionRequest, u *blackboard.Upstream) {
 	u.Evidence().Live(a.now(), false)
-	a.quarantine.suspect(a.now(), r, u, reused)
+	a.quarantine.crashed(a.now(), r, u)
 }
 
 // replay answers with the record of an earlier call under the same key.
--- a/baobabnode/quarantinecontroller.go
+++ b/baobabnode/quarantinecontroller.go
@@ -2,31 +2,106 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
+	quarantine "github.com/baobabdale/baobabdale/baobabquarantine"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
+// A quarantineController shares with all nodes which requests crash upstreams. Requests that were in flight at a crash
+// are reported like the one that caused it; they are cleared when they run again without a crash.
 type quarantineController struct {
 	board       *blackboard.Board
+	list        *quarantine.List
 	broadcaster *broadcaster
 	now         func() time.Time
 	logger      *log.Logger
 }
 
 func newQuarantineController(board *blackboard.Board, b *broadcaster, now func() time.Time, logger *log.Logger) *quarantineController {
-	return &quarantineController{board: board, broadcaster: b, now: now, logger: logger}
+	return &quarantineController{board: board, list: quarantine.NewList(), broadcaster: b, now: now, logger: logger}
 }
 
-func (c *quarantineController) run(ctx context.Context) error { <-ctx.Done(); return nil }
+// run follows the policy of the local service and forgets old crashes until ctx ends.
+func (c *quarantineController) run(ctx context.Context) error {
+	for {
+		inForce, upstream := c.board.InForceChanged(), c.board.UpstreamChanged()
+		if p, ok := localPolicy(c.board); ok {
+			c.list.Configure(quarantine.NewRule(p.QuarantineAfter(), p.QuarantineTime()))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-inForce:
+		case <-upstream:
+		case <-time.After(forgetInterval):
+			c.list.Expire(c.now())
+		}
+	}
+}
+
+// refused reports whether a request is refused because equal ones crashed upstreams, and for how long.
+func (c *quarantineController) refused(now time.Time, r *admissionRequest) (time.Duration, bool) {
+	return c.list.Refused(now, fingerprintOf(r))
+}
 
-func (c *quarantineController) refused(time.Time, *admissionRequest) (time.Duration, bool) {
-	return 0, false
+// crashed reports that the upstream's connection failed while it ran a request.
+func (c *quarantineController) crashed(now time.Time, r *admissionRequest, u *blackboard.Upstream) {
+	report, added := c.list.Report(now, fingerprintOf(r), u.ID(), r.call.ID())
+	if !added {
+		return
+	}
+	c.logger.Warn("upstream failed while it ran a request", "upstream", u.ID(), "call", r.call.ID(), "fingerprint", report.Fingerprint())
+	c.broadcaster.spread(&wire.Broadcast{Update: &wire.Broadcast_Quarantine{Quarantine: &wire.QuarantineUpdate{
+		Reports: []*wire.CrashReport{{
+			Fingerprint: report.Fingerprint().Bytes(), UpstreamId: report.UpstreamID(), CallId: report.CallID(),
+		}},
+	}}})
 }
 
-func (c *quarantineController) suspect(time.Time, *admissionRequest, *blackboard.Upstream, bool) {}
+// succeeded clears a request that is suspected when it ran without a crash.
+func (c *quarantineController) succeeded(now time.Time, r *admissionRequest, started time.Time) {
+	if c.list.Empty() {
+		return
+	}
+	f := fingerprintOf(r)
+	if !c.list.Suspected(f) || !c.list.Clear(now, f, started) {
+		return
+	}
+	c.broadcaster.spread(&wire.Broadcast{Update: &wire.Broadcast_Quarantine{Quarantine: &wire.QuarantineUpdate{
+		Clearances: []*wire.Clearance{{Fingerprint: f.Bytes(), AgeMs: now.Sub(started).Milliseconds()}},
+	}}})
+}
 
-func (c *quarantineController) receive(*wire.QuarantineUpdate) {}
+// receive takes over what other nodes have seen.
+func (c *quarantineController) receive(m *wire.QuarantineUpdate) {
+	now := c.now()
+	var reports []quarantine.Report
+	for _, r := range m.GetReports() {
+		f, err := quarantine.ParseFingerprint(r.GetFingerprint())
+		if err != nil {
+			c.logger.Warn("malformed crash report", "err", err)
+			continue
+		}
+		at := now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond)
+		reports = append(reports, quarantine.NewReport(f, r.GetUpstreamId(), r.GetCallId(), at))
+	}
+	c.list.Merge(now, reports)
+	for _, v := range m.GetClearances() {
+		f, err := quarantine.ParseFingerprint(v.GetFingerprint())
+		if err != nil {
+			c.logger.Warn("malformed clearance", "err", err)
+			continue
+		}
+		c.list.Clear(now, f, now.Add(-time.Duration(v.GetAgeMs())*time.Millisecond))
+	}
+}
+
+func fingerprintOf(r *admissionRequest) quarantine.Fingerprint {
+	body := sha256.Sum256(r.call.Body())
+	return quarantine.NewFingerprint(r.service, r.call.Method(), r.call.Target(), body[:])
+}
--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	// The product runs as a process of its own; the import makes cached test results depend on its code.
+	_ "github.com/baobabdale/baobabdale/baobabcommand"
 	"github.com/baobabdale/baobabdale/baobabemulator"
 )
 
--- a/baobabquarantine/fingerprint.go
+++ b/baobabquarantine/fingerprint.go
@@ -5,18 +5,16 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"strings"
 )
 
 // A Fingerprint identifies requests that would run alike.
 type Fingerprint [sha256.Size]byte
 
-// NewFingerprint returns the fingerprint of a request. The query of the target is left out, because clients put
-// values there that differ between two sendings of one request.
+// NewFingerprint returns the fingerprint of a request. The target is the path with its query: lookups that differ only
+// in the query are different requests, and one that crashes upstreams must not get the others refused.
 func NewFingerprint(service, method, target string, bodyDigest []byte) Fingerprint {
-	path, _, _ := strings.Cut(target, "?")
 	h := sha256.New()
-	for _, part := range []string{service, method, path, string(bodyDigest)} {
+	for _, part := range []string{service, method, target, string(bodyDigest)} {
 		// The length keeps the parts apart.
 		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
 		h.Write([]byte(part))
@@ -34,3 +32,6 @@
 
 // String returns the hexadecimal form.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Bytes returns the form that is sent to peers.
+func (f Fingerprint) Bytes() []byte { return f[:] }
--- a/baobabquarantine/list.go
+++ b/baobabquarantine/list.go
@@ -42,6 +42,7 @@
 	WithLimit(defaultLimit)(l)
 	for i := range l.shards {
 		l.shards[i].crashes = map[Fingerprint][]Report{}
+		l.shards[i].cleared = map[Fingerprint]time.Time{}
 	}
 	for _, o := range options {
 		o(l)
@@ -77,6 +78,29 @@
 	return added
 }
 
+// Empty reports whether no crash is known.
+func (l *List) Empty() bool {
+	for i := range l.shards {
+		if l.shards[i].len() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Suspected reports whether crashes are known of requests with the fingerprint.
+func (l *List) Suspected(f Fingerprint) bool { return l.shard(f).suspected(f) }
+
+// Clear takes note of a run that succeeded: crashes before its start do not count, because other requests that were
+// in flight at a crash are reported like the one that caused it. It reports whether that is news, to be broadcast.
+// Requests that are refused already stay refused.
+func (l *List) Clear(now time.Time, f Fingerprint, started time.Time) bool {
+	if started.After(now) {
+		started = now
+	}
+	return l.shard(f).clear(now, *l.rule.Load(), f, started)
+}
+
 // Refused reports whether requests with the fingerprint are refused, and for how long.
 func (l *List) Refused(now time.Time, f Fingerprint) (time.Duration, bool) {
 	left := l.shard(f).left(now, *l.rule.Load(), f)
--- a/baobabquarantine/list_test.go
+++ b/baobabquarantine/list_test.go
@@ -57,15 +57,13 @@
 
 // TestFingerprint guards against innocent requests that share a fingerprint, and one request that has two.
 func TestFingerprint(t *testing.T) {
-	same := []Fingerprint{
-		NewFingerprint("s", "GET", "/a", nil),
-		NewFingerprint("s", "GET", "/a?trace=1", nil),
-	}
-	if same[0] != same[1] {
-		t.Error("The query changes the fingerprint")
+	first := NewFingerprint("s", "GET", "/a", nil)
+	if first != NewFingerprint("s", "GET", "/a", nil) {
+		t.Error("Equal requests have different fingerprints")
 	}
 	different := []Fingerprint{
-		same[0],
+		first,
+		NewFingerprint("s", "GET", "/a?trace=1", nil),
 		NewFingerprint("s", "GET", "/a/", nil),
 		NewFingerprint("sG", "ET", "/a", nil),
 		NewFingerprint("s", "GET", "/", []byte("a")),
@@ -182,3 +180,28 @@
 		t.Errorf("%d fingerprints kept, want at most 16", n)
 	}
 }
+
+// TestClear guards against a frequent request that is refused because it was in flight at two crashes of others.
+func TestClear(t *testing.T) {
+	f := testFingerprint(1)
+	for _, test := range []struct {
+		name    string
+		started int // Of the run that succeeded between the crashes at 10 and 20; 0 means none.
+		refused bool
+	}{
+		{"no run between", 0, true},
+		{"run started before the first crash", 5, true},
+		{"run started between", 15, false},
+	} {
+		l := NewList()
+		l.Report(at(10), f, "u1", "c1")
+		if test.started != 0 {
+			l.Clear(at(19), f, at(test.started))
+		}
+		l.Report(at(20), f, "u2", "c2")
+		l.Merge(at(21), []Report{NewReport(f, "u1", "c1", at(10))})
+		if _, refused := l.Refused(at(22), f); refused != test.refused {
+			t.Errorf("%s: Refused = %t, want %t", test.name, refused, test.refused)
+		}
+	}
+}
--- a/baobabquarantine/shard.go
+++ b/baobabquarantine/shard.go
@@ -14,13 +14,17 @@
 	mu      sync.Mutex
 	limit   int                      // Fingerprints.
 	crashes map[Fingerprint][]Report // By fingerprint, sorted by time, no two of the same crash.
+
+	// cleared has the start of the last run that succeeded, by fingerprint. Crashes before it do not count. It holds
+	// only fingerprints that had crashes, and only as long as such crashes could matter.
+	cleared map[Fingerprint]time.Time
 }
 
 // add takes in a report and reports whether it was new and kept.
 func (s *shard) add(now time.Time, rule Rule, r Report) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(r.at) >= rule.memory() {
+	if now.Sub(r.at) >= rule.memory() || !r.at.After(s.cleared[r.fingerprint]) {
 		return false
 	}
 	known := prune(now, rule, s.crashes[r.fingerprint])
@@ -39,6 +43,31 @@
 	return slices.Contains(known, r)
 }
 
+// clear drops the crashes before a run that succeeded, and reports whether that is news.
+func (s *shard) clear(now time.Time, rule Rule, f Fingerprint, started time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.crashes[f]
+	if !ok || !known[0].at.Before(started) || !started.After(s.cleared[f]) || rule.until(known).After(now) {
+		return false
+	}
+	s.cleared[f] = started
+	known = slices.DeleteFunc(known, func(r Report) bool { return !r.at.After(started) })
+	if len(known) == 0 {
+		delete(s.crashes, f)
+		return true
+	}
+	s.crashes[f] = known
+	return true
+}
+
+// suspected reports whether crashes are known.
+func (s *shard) suspected(f Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.crashes[f]) > 0
+}
+
 // prune returns the crashes that still matter.
 func prune(now time.Time, rule Rule, crashes []Report) []Report {
 	old := 0
@@ -77,6 +106,11 @@
 
 // expire forgets what no longer matters.
 func (s *shard) expire(now time.Time, rule Rule) {
+	for f, started := range s.cleared {
+		if now.Sub(started) >= rule.memory() {
+			delete(s.cleared, f)
+		}
+	}
 	for f, known := range s.crashes {
 		known = prune(now, rule, known)
 		if len(known) == 0 {
