emulator, caller, upstream: tests across the edges; listener failure is visible

Cause: the stand-in and the product's upstream edge were tested apart, so a difference between them would have been seen only in integration tests. An edge whose listener failed told nobody.

Change: TestUpstreamAtTheEdge runs announcements and each way in which a call ends through the product's client and registry. Edge.Dying is closed when a listener fails. Answers without a body are shown not to count as truncated.

--- a/baobabcaller/edge.go
+++ b/baobabcaller/edge.go
@@ -67,6 +67,9 @@
 	return errors.Wrap(err, "accept callers")
 }
 
+// Dying is closed when the edge stops, also when a listener has failed.
+func (e *Edge) Dying() <-chan struct{} { return e.tomb.Dying() }
+
 // Shutdown asks callers to close their connections for the grace period while it still accepts, then closes the
 // listeners and waits for requests in progress until ctx ends. It returns an error when requests were interrupted.
 func (e *Edge) Shutdown(ctx context.Context) error {
--- a/baobabcaller/edge_test.go
+++ b/baobabcaller/edge_test.go
@@ -114,3 +114,18 @@
 		t.Error("interrupted request succeeded")
 	}
 }
+
+// TestListenerFailure guards against an edge that goes on without its listener and tells nobody.
+func TestListenerFailure(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+	_ = l.Close()
+	edge := NewEdge(NewHandler(answerWith(200, nil, strings.NewReader(""))), WithGrace(0))
+	edge.Start(l)
+	<-edge.Dying()
+	if err := edge.Shutdown(t.Context()); err == nil {
+		t.Error("Shutdown returned no error after the listener failed")
+	}
+}
--- /dev/null
+++ b/baobabemulator/upstreamedge_test.go
@@ -0,0 +1,102 @@
+package baobabemulator
+
+import (
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+	"github.com/baobabdale/baobabdale/baobabupstream"
+)
+
+// edgeResult names the end of a call at the upstreams' edge.
+func edgeResult(r baobabupstream.Result) string {
+	switch r := r.(type) {
+	case *baobabupstream.Answered:
+		defer r.Answer().Body().Close()
+		if _, err := io.ReadAll(r.Answer().Body()); err != nil {
+			return "truncated"
+		}
+		return "answered"
+	case baobabupstream.Refused:
+		return "refused"
+	case baobabupstream.NotSent:
+		return "not sent"
+	case baobabupstream.Died:
+		return "died"
+	case baobabupstream.DeadlineReached:
+		if !r.Sent() {
+			return "deadline, not sent"
+		}
+		return "deadline"
+	default:
+		return "cancelled"
+	}
+}
+
+// TestUpstreamAtTheEdge guards against a stand-in that the product's upstream edge does not understand: its
+// announcements, each way in which a call ends, and its leaving.
+func TestUpstreamAtTheEdge(t *testing.T) {
+	registry := baobabupstream.NewRegistry()
+	node := httptest.NewServer(baobabupstream.NewAnnouncements(registry))
+	defer node.Close()
+	u := startUpstream(t, WithUpstreamNode(node.URL), WithUpstreamConnections(4), WithUpstreamLabels(map[string]string{"tier": "1"}))
+	state := func() baobabupstream.State {
+		_, s, _ := registry.Current()
+		return s
+	}
+	awaitUpstream(t, "announcement", func() bool { return state() == baobabupstream.StateReady })
+	a, _, _ := registry.Current()
+	if a.UpstreamID() != "u1" || a.Service() != "quotes" || a.Slots() != 6 || a.Connections() != 4 || a.Labels()["tier"] != "1" {
+		t.Errorf("announcement = %+v", a)
+	}
+	client := baobabupstream.NewClient(a.Address(), a.Connections())
+	defer client.Close()
+	tests := []struct {
+		target, want string
+		limit        time.Duration
+		runs         int
+	}{
+		{"/?size=100000", "answered", time.Minute, 1},
+		{"/?size=100000&pieces=10&piece_interval_ms=1", "answered", time.Minute, 1},
+		{"/?fail=500", "answered", time.Minute, 1},
+		{"/?size=100000&truncate=1", "truncated", time.Minute, 1},
+		{"/?delay_ms=60000", "deadline", 100 * time.Millisecond, 1},
+		{"/", "deadline, not sent", 0, 0},
+		{"/", "refused", time.Minute, 0},
+		{"/?crash=1", "died", time.Minute, 1},
+		{"/", "not sent", time.Minute, 0},
+	}
+	for i, tt := range tests {
+		b := DefaultUpstreamBehaviour()
+		b.Shed = tt.want == "refused"
+		u.SetBehaviour(b)
+		before := len(u.History().Runs())
+		// A body makes a repetition by the client visible as a second run.
+		k := call.NewCall(strings.Repeat("c", i+1), "caller", "POST", "svc", tt.target, call.WithBody([]byte("body")))
+		now := time.Now()
+		got := edgeResult(client.Do(t.Context(), now, k, now.Add(tt.limit)))
+		if got != tt.want || len(u.History().Runs())-before != tt.runs {
+			t.Errorf("%s: %s with %d runs, want %s with %d", tt.target, got, len(u.History().Runs())-before, tt.want, tt.runs)
+		}
+	}
+}
+
+// TestUpstreamLeavesTheEdge guards against an upstream that stays announced after it stopped.
+func TestUpstreamLeavesTheEdge(t *testing.T) {
+	registry := baobabupstream.NewRegistry()
+	node := httptest.NewServer(baobabupstream.NewAnnouncements(registry))
+	defer node.Close()
+	u := startUpstream(t, WithUpstreamNode(node.URL))
+	awaitUpstream(t, "announcement", func() bool { _, _, ok := registry.Current(); return ok })
+	u.Drain()
+	awaitUpstream(t, "drain", func() bool { _, s, _ := registry.Current(); return s == baobabupstream.StateDraining })
+	if err := u.Stop(t.Context()); err != nil {
+		t.Errorf("Stop: %v", err)
+	}
+	if _, s, ok := registry.Current(); ok {
+		t.Errorf("state after leaving = %s", s)
+	}
+}
--- a/baobabupstream/client_test.go
+++ b/baobabupstream/client_test.go
@@ -349,6 +349,25 @@
 	}
 }
 
+// TestAnswersWithoutBody guards against complete answers without a length that count as truncated.
+func TestAnswersWithoutBody(t *testing.T) {
+	tests := []struct{ name, method, answer string }{
+		{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\n\r\n"},
+		{"HEAD with length", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"},
+		{"204", "GET", "HTTP/1.1 204 No Content\r\n\r\n"},
+		{"304", "GET", "HTTP/1.1 304 Not Modified\r\nConnection: close\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		u := startRaw(t, func(u *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+			u.next(r)
+			_, _ = io.WriteString(conn, tt.answer)
+		})
+		if got, err := read(t, doCall(t, u.client(t), newCall("c1", tt.method, "/"))); got != "" || err != nil {
+			t.Errorf("%s: body %q, %v", tt.name, got, err)
+		}
+	}
+}
+
 // TestDeadlineInBody guards against a deadline in the middle of an answer that looks like a crash.
 func TestDeadlineInBody(t *testing.T) {
 	c := startHTTP(t, 2, func(w http.ResponseWriter, r *http.Request) {
