admission: repeatable latency ratio; stricter test of floors and turns

Cause: the limiter summed latencies in the order of a map, so two runs could differ in the last bit and decide differently. TestQueueShares drew single operations, so ranks and callers rarely waited long: in a scratch copy it passed with floors granted at a credit of 3, and with callers not served in turn (the data-driven test failed).

Change: sums in sorted order. The test draws runs of offers and grants and a flood, and its bound on what a rank may be below its floor is 1 grant plus its floor for each other rank, instead of one grant for each rank.

In a scratch copy the test now fails with floors granted at a credit of 2 and with callers not served in turn; unchanged code passes 20,000 runs (go test -run QueueShares -rapid.checks=20000 ./baobabadmission).

--- a/baobabadmission/baseline.go
+++ b/baobabadmission/baseline.go
@@ -1,6 +1,10 @@
 package baobabadmission
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// maxKinds bounds memory; further kinds share one baseline.
@@ -81,7 +85,9 @@
 // ratio returns the mean latency of the window relative to the long-term low; 1 when no kind has a baseline yet.
 func (b *baseline) ratio() float64 {
 	var measured, expected float64
-	for kind, w := range b.window {
+	// In a fixed order, because sums of floating-point numbers depend on it and decisions must be repeatable.
+	for _, kind := range slices.Sorted(maps.Keys(b.window)) {
+		w := b.window[kind]
 		if low, ok := b.low[kind]; ok {
 			measured += w.sum
 			expected += low * float64(w.count)
--- a/baobabadmission/property_test.go
+++ b/baobabadmission/property_test.go
@@ -42,54 +42,72 @@
 				owed[e.rank] = 0
 			}
 		}
-		t.Repeat(map[string]func(*rapid.T){
-			"offer": func(t *rapid.T) {
-				rank := rapid.IntRange(0, n-1).Draw(t, "rank")
-				caller := rapid.SampledFrom([]string{"a", "a", "a", "b", "c", "d"}).Draw(t, "caller")
-				own := callersIn[rank][caller]
-				e, drops, refusal := q.Offer(simEpoch, NewRequest(fmt.Sprint(rank), caller, time.Time{}, ""), Service{})
-				for _, d := range drops {
-					leave(d.entry)
+		offer := func(t *rapid.T, rank int, caller string) {
+			own := callersIn[rank][caller]
+			e, drops, refusal := q.Offer(simEpoch, NewRequest(fmt.Sprint(rank), caller, time.Time{}, ""), Service{})
+			for _, d := range drops {
+				leave(d.entry)
+			}
+			if refusal == nil {
+				waiting[e] = true
+				callersIn[rank][caller]++
+				return
+			}
+			for other, count := range callersIn[rank] {
+				if count > own+1 {
+					t.Fatalf("Caller %s with %d entries refused while %s holds %d", caller, own, other, count)
 				}
-				if refusal == nil {
-					waiting[e] = true
-					callersIn[rank][caller]++
-					return
+			}
+		}
+		grant := func(t *rapid.T) {
+			for i := range n {
+				if len(callersIn[i]) > 0 {
+					owed[i] += float64(ranks[i].floorPercent) / 100
 				}
-				for other, count := range callersIn[rank] {
-					if count > own+1 {
-						t.Fatalf("Caller %s with %d entries refused while %s holds %d", caller, own, other, count)
-					}
+			}
+			e, _ := q.Next(simEpoch)
+			if e == nil {
+				if len(waiting) > 0 {
+					t.Fatalf("Next = nil while %d wait", len(waiting))
 				}
-			},
-			"next": func(t *rapid.T) {
-				for i := range n {
-					if len(callersIn[i]) > 0 {
-						owed[i] += float64(ranks[i].floorPercent) / 100
-					}
+				return
+			}
+			owed[e.rank] = max(0, owed[e.rank]-1)
+			for caller := range callersIn[e.rank] {
+				passedOver[e.request.rank+caller]++
+			}
+			passedOver[e.request.rank+e.request.caller] = 0
+			leave(e)
+			for i, o := range owed {
+				if bound := 1 + float64((n-1)*ranks[i].floorPercent)/100; o >= bound+1e-6 {
+					t.Fatalf("Rank %d is %.2f grants below its floor", i, o)
 				}
-				e, _ := q.Next(simEpoch)
-				if e == nil {
-					if len(waiting) > 0 {
-						t.Fatalf("Next = nil while %d wait", len(waiting))
-					}
-					return
+			}
+			for caller, times := range passedOver {
+				if times >= 4 {
+					t.Fatalf("Caller %s was passed over %d times by 3 others", caller, times)
 				}
-				owed[e.rank] = max(0, owed[e.rank]-1)
-				for caller := range callersIn[e.rank] {
-					passedOver[e.request.rank+caller]++
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			// Runs of offers and grants, so that ranks and callers wait long enough to be passed over.
+			"offers": func(t *rapid.T) {
+				rank := rapid.IntRange(0, n-1).Draw(t, "rank")
+				caller := rapid.SampledFrom([]string{"a", "a", "a", "b", "c", "d"}).Draw(t, "caller")
+				for range rapid.IntRange(1, 8).Draw(t, "count") {
+					offer(t, rank, caller)
 				}
-				passedOver[e.request.rank+e.request.caller] = 0
-				leave(e)
-				for i, o := range owed {
-					if o >= float64(n)+1e-6 {
-						t.Fatalf("Rank %d is %.2f grants below its floor", i, o)
-					}
+			},
+			"grants": func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "count") {
+					grant(t)
 				}
-				for caller, times := range passedOver {
-					if times >= 4 {
-						t.Fatalf("Caller %s was passed over %d times by 3 others", caller, times)
-					}
+			},
+			// The most urgent rank and caller a ask again after each grant.
+			"flood": func(t *rapid.T) {
+				for range rapid.IntRange(1, 40).Draw(t, "count") {
+					offer(t, 0, "a")
+					grant(t)
 				}
 			},
 			"cancel": func(t *rapid.T) {
