admission: gate test without a wait that a busy machine can miss

Cause: the test looked for a request in the queue that a deadline of 100 ms could have removed before the look. Change: the request is made synchronously; it is refused as deadline_passed whether it waits or arrives late. Result: go test -race -run Gate -count=15 -cpu 1,2,10 ./baobabadmission passes.

--- a/baobabadmission/gate_test.go
+++ b/baobabadmission/gate_test.go
@@ -70,8 +70,8 @@
 		t.Errorf("Queued after cancellation = %d, want 0", got)
 	}
 
-	late := acquireLater(t.Context(), t, g, NewRequest("", "a", time.Now().Add(100*time.Millisecond), ""))
-	if r := receive(t, late); r == nil || r.Reason() != call.ReasonDeadlinePassed {
+	soon := time.Now().Add(20 * time.Millisecond)
+	if _, r := g.Acquire(t.Context(), time.Now(), NewRequest("", "a", soon, "")); r == nil || r.Reason() != call.ReasonDeadlinePassed {
 		t.Errorf("Request whose deadline passed: %v, want deadline_passed", r)
 	}
 
