--- a/baobabemulator/caller.go
+++ b/baobabemulator/caller.go
@@ -43,6 +43,7 @@
 	Status  int       // Zero without an answer.
 	Outcome string    // ran, not_run, unknown, or empty without an answer.
 	Refusal string    // Reason, or empty.
+	Wait    string    // The Retry-After field, or empty.
 	Answer  UpstreamAnswer
 	Fault   string // Why the answer is not the whole answer to this request; empty if it is.
 	Err     error  // Why no whole answer arrived.
@@ -90,11 +91,32 @@
 	return append([]CallerRecord(nil), c.records...)
 }
 
+// Resend sends a request to the base URLs in turn, with the same content each time, until the answer of an upstream
+// arrives or ctx ends. Between two sends it waits for pause. It returns what the last send gave.
+func (c *Caller) Resend(ctx context.Context, bases []string, r CallerRequest, pause time.Duration) CallerRecord {
+	if r.Content == "" {
+		r.Content = c.content()
+	}
+	for i := 0; ; i++ {
+		record := c.Do(ctx, bases[i%len(bases)], r)
+		if record.Answered() {
+			return record
+		}
+		select {
+		case <-ctx.Done():
+			return record
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (c *Caller) content() string { return fmt.Sprintf("%s-%d", c.prefix, c.serial.Add(1)) }
+
 // Do sends a request to a base URL once and records what comes back.
 func (c *Caller) Do(ctx context.Context, base string, r CallerRequest) CallerRecord {
 	record := CallerRecord{Request: r, Content: r.Content, Start: time.Now()}
 	if record.Content == "" {
-		record.Content = fmt.Sprintf("%s-%d", c.prefix, c.serial.Add(1))
+		record.Content = c.content()
 	}
 	c.send(ctx, base, &record)
 	record.End = time.Now()
@@ -120,6 +142,7 @@
 	record.CallID = response.Header.Get("Baobab-Call-Id")
 	record.Outcome = response.Header.Get("Baobab-Outcome")
 	record.Refusal = response.Header.Get("Baobab-Refusal")
+	record.Wait = response.Header.Get("Retry-After")
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		record.Err = errors.Wrap(err, "read answer")
@@ -153,8 +176,9 @@
 	for name, value := range r.Header {
 		request.Header.Set(name, value)
 	}
-	// Without GetBody the transport cannot send the request again by itself.
+	// Without GetBody, and with a body other than http.NoBody, the transport cannot send the request again by itself.
 	request.GetBody = nil
+	request.Body = io.NopCloser(strings.NewReader(body))
 	return request, nil
 }
 
--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -388,6 +388,43 @@
 	return all, nil
 }
 
+// WaitRun waits until an upstream has started a request with the given content, and returns its node.
+func (m *Mesh) WaitRun(ctx context.Context, content string) (*MeshNode, error) {
+	var found *MeshNode
+	err := waitFor(ctx, "run of "+content, func() bool {
+		for _, n := range m.nodes {
+			runs, err := n.Runs()
+			if err != nil {
+				return false
+			}
+			for _, r := range runs {
+				if contentOf(r.Path) == content {
+					found = n
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found, err
+}
+
+// EntryURLs returns the base URLs for callers of some nodes.
+func EntryURLs(nodes ...*MeshNode) []string {
+	urls := make([]string, len(nodes))
+	for i, n := range nodes {
+		urls[i] = n.EntryURL()
+	}
+	return urls
+}
+
+// Domain returns the failure domain of the node as Mesh.Cut and Mesh.Heal count it.
+func (n *MeshNode) Domain() int {
+	var d int
+	_, _ = fmt.Sscanf(n.domain, "fd%d", &d)
+	return d
+}
+
 // Close kills all processes.
 func (m *Mesh) Close() {
 	var wg sync.WaitGroup
