claim: record all header fields of an answer but those of a connection and credentials

Cause: a repeated key got the recorded answer without most of its header fields, because only six fields that describe the body were recorded. A caller that resends then gets less than the whole answer. Ruled out: loss in the peer message or at the callers' edge, which pass all fields of first answers on. Change: record every field except those that concern one connection or sending, those that the mesh sets, and credentials. The limit of 4 KiB stays; beyond it only the status is recorded, as before.

--- a/baobabclaim/ledger_test.go
+++ b/baobabclaim/ledger_test.go
@@ -141,7 +141,7 @@
 	if r, ok := claim(testEpoch, 1).(Mismatch); !ok {
 		t.Errorf("Claim for another request = %#v, want Mismatch", r)
 	}
-	header := http.Header{"Content-Type": {"text/plain"}, "Set-Cookie": {"secret"}}
+	header := http.Header{"Content-Type": {"text/plain"}, "Set-Cookie": {"secret"}, "Price-Total": {"40"}}
 	if err := l.Finish(t.Context(), testEpoch, first, NewRecord(201, header, []byte("done"))); err != nil {
 		t.Fatalf("Finish: %v", err)
 	}
@@ -149,6 +149,9 @@
 	if r.Status() != 201 || string(r.Body()) != "done" || !r.Complete() || r.Header().Get("Content-Type") != "text/plain" {
 		t.Errorf("Record = %#v, want the answer", r)
 	}
+	if r.Header().Get("Price-Total") != "40" {
+		t.Error("Record lacks a header field of the answer")
+	}
 	if r.Header().Get("Set-Cookie") != "" {
 		t.Error("Record holds a header field that must not be recorded")
 	}
--- a/baobabclaim/record.go
+++ b/baobabclaim/record.go
@@ -8,31 +8,35 @@
 // maxRecordedHeader is the size in bytes up to which header fields are recorded, so that rows stay small.
 const maxRecordedHeader = 4 << 10
 
-// recordedFields are the header fields that describe the recorded body, or that the caller needs of the answer.
-func recordedFields() []string {
-	return []string{"Content-Encoding", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location"}
+// unrecordedFields are the header fields that concern one connection or one sending of the answer, those that only
+// the mesh sets, and credentials, which must not be stored.
+func unrecordedFields() []string {
+	return []string{
+		"Authentication-Info", "Baobab-Call-Id", "Baobab-Not-Started", "Baobab-Outcome", "Baobab-Refusal", "Connection",
+		"Content-Length", "Date", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Set-Cookie", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Www-Authenticate",
+	}
 }
 
 // A Record is the answer that a repeated key gets.
 type Record struct {
 	status   int
-	header   http.Header // Only recorded fields; nil when not complete.
+	header   http.Header // Without unrecordedFields; nil when not complete.
 	body     []byte      // Nil when not complete.
 	complete bool        // False when only the status was recorded.
 }
 
 // NewRecord returns the record of an answer. Of an answer that is too large only the status is recorded.
 func NewRecord(status int, header http.Header, body []byte) Record {
-	selected := http.Header{}
+	selected := header.Clone()
+	for _, name := range unrecordedFields() {
+		selected.Del(name)
+	}
 	size := 0
-	for _, name := range recordedFields() {
-		values := header.Values(name)
+	for name, values := range selected {
 		for _, v := range values {
 			size += len(name) + len(v)
 		}
-		if len(values) > 0 {
-			selected[name] = values
-		}
 	}
 	if len(body) > maxRecordedBody || size > maxRecordedHeader {
 		return NewStatusRecord(status)
