node: record the answer of a keyed call until the platform confirms it

Cause: the answer of a keyed call was recorded with one operation, bounded to 2 s by the ledger. When the platform was down or the holder cut off for longer, the key stayed in progress for the retention time (24 h), although the holder was alive and knew the answer. Seen in TestAtMostOnce, cases platform-down-during and holder-cut-off: 60 s after the failure had ended every resend still got 409 in_progress, unknown. Ruled out: a second run or a lost claim; the histories showed exactly one run. Change: the admitting node tries again with growing pauses up to 2 s, for an hour at most. A planned stop waits for it no longer than the drain timeout. TestAtMostOnce sends keyed requests again through other nodes while nodes, upstreams, links or the platform fail, and compares the callers' records with the upstreams' histories.

--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -23,8 +24,13 @@
 	claimTimeout = time.Second
 	// releaseTimeout bounds how long a refusal waits for its claim to be released.
 	releaseTimeout = 500 * time.Millisecond
-	// finishTimeout bounds the recording of an answer, which runs after the answer was sent.
-	finishTimeout = 30 * time.Second
+	// finishTimeout bounds the recording of an answer, which runs after the answer was sent. It outlasts a long outage
+	// of the platform, because until the answer is recorded a caller that sends the request again is told unknown. No
+	// new claims are granted during an outage, so few answers wait.
+	finishTimeout = time.Hour
+	// finishPause and finishPauseMost bound the pause between two tries to record an answer.
+	finishPause     = 100 * time.Millisecond
+	finishPauseMost = 2 * time.Second
 )
 
 // An admission request is a call as the admitting node sees it.
@@ -68,8 +74,20 @@
 	return a.admitKeyed(ctx, now, r)
 }
 
-// Wait waits for answers that are being recorded.
-func (a *Admitter) Wait() { a.finishing.Wait() }
+// Wait waits for answers that are being recorded, until ctx ends. It reports whether all were.
+func (a *Admitter) Wait(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		a.finishing.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
 
 // check refuses what cannot be run here, before anything is written or queued.
 func (a *Admitter) check(now time.Time, r *admissionRequest) *call.Refusal {
@@ -198,12 +216,26 @@
 	a.finishing.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
-		if err := a.ledger.Finish(ctx, a.now(), granted, record); err != nil {
+		if err := a.record(ctx, granted, record); err != nil {
 			a.logger.Warn("answer not recorded", "err", err)
 		}
 	})
 }
 
+// record writes the record of an answer, again and again while the platform does not confirm it.
+func (a *Admitter) record(ctx context.Context, granted claim.Granted, record claim.Record) error {
+	for pause := finishPause; ; pause = min(2*pause, finishPauseMost) {
+		err := a.ledger.Finish(ctx, a.now(), granted, record)
+		failure, ok := errors.AsType[*claim.Error](err)
+		if !ok || failure.Kind() != claim.KindUnavailable {
+			return err
+		}
+		if !sleep(ctx, pause) {
+			return err
+		}
+	}
+}
+
 // release gives a claim back when its call surely did not run.
 func (a *Admitter) release(granted *claim.Granted) {
 	if granted == nil {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -251,7 +251,9 @@
 		n.logger.Error("calls in progress were interrupted")
 	}
 	n.peers.calls.Wait()
-	n.admitter.Wait()
+	if !n.admitter.Wait(ctx) {
+		n.logger.Error("answers under idempotency keys were not recorded")
+	}
 	time.Sleep(lingerTime)
 	n.logger.Info("stopped")
 }
