bench: latency experiment with paired open-loop runs

Compares calls to an upstream directly with calls through an ingress and an admitting node of the same failure domain.

--- /dev/null
+++ b/baobabbench/bench.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabdale/baobabdale/baobabemulator"
+)
+
+// startTimeout bounds the start of a mesh; hundreds of processes take a while on a shared machine.
+const startTimeout = 3 * time.Minute
+
+// A bench is what experiments share: the programs, the seed, the folder for results and the report.
+type bench struct {
+	seed     uint64
+	keep     bool
+	results  string
+	folder   string // For programs, settings and logs.
+	binaries baobabemulator.Binaries
+	before   *baobabemulator.Binaries // Of another revision; nil without one.
+	module   string                   // Of the other revision; empty without one.
+	report   *report
+	meshes   int
+}
+
+func newBench(name, command string, a arguments) (*bench, error) {
+	if err := os.MkdirAll(a.Results, 0o755); err != nil {
+		return nil, errors.Wrap(err, "new bench")
+	}
+	folder, err := os.MkdirTemp("", "baobabbench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "new bench")
+	}
+	return &bench{
+		seed: a.Seed, keep: a.Keep, results: a.Results, folder: folder, report: newReport(name, command, a.Seed),
+		module: a.Before,
+	}, nil
+}
+
+// measure builds the programs, runs the experiment and writes the report.
+func (b *bench) measure(ctx context.Context, e experiment) error {
+	var err error
+	if b.binaries, err = baobabemulator.BuildBinaries(b.folder); err != nil {
+		return err
+	}
+	if b.module != "" {
+		folder := filepath.Join(b.folder, "before")
+		if err := os.MkdirAll(folder, 0o755); err != nil {
+			return errors.Wrap(err, "build programs")
+		}
+		other, err := baobabemulator.BuildBinariesOf(b.module, folder)
+		if err != nil {
+			return err
+		}
+		b.before = &other
+	}
+	b.report.begin()
+	fmt.Printf("%s seed=%d load=%s\n", b.report.Experiment, b.seed, b.report.LoadBefore)
+	if err := e.run(ctx, b); err != nil {
+		return errors.Wrapf(err, "logs in %s", b.folder)
+	}
+	b.report.end()
+	if !b.keep {
+		defer func() { _ = os.RemoveAll(b.folder) }()
+	}
+	return b.report.write(b.results)
+}
+
+// A meshRun is a running mesh with its configuration in force everywhere.
+type meshRun struct {
+	*baobabemulator.Mesh
+	folder string
+}
+
+// startMesh starts a mesh of the given programs and applies a configuration.
+func (b *bench) startMesh(ctx context.Context, binaries baobabemulator.Binaries, spec *baobabemulator.MeshSpec, resources resources) (*meshRun, error) {
+	b.meshes++
+	folder := filepath.Join(b.folder, fmt.Sprintf("mesh-%d", b.meshes))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, errors.Wrap(err, "start mesh")
+	}
+	m, err := baobabemulator.NewMesh(spec, folder, binaries)
+	if err != nil {
+		return nil, err
+	}
+	r := &meshRun{Mesh: m, folder: folder}
+	if err := r.bringUp(ctx, resources); err != nil {
+		m.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (m *meshRun) bringUp(ctx context.Context, resources resources) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := m.Start(); err != nil {
+		return err
+	}
+	if err := m.WaitHealthy(ctx); err != nil {
+		return err
+	}
+	version, err := m.apply(ctx, resources)
+	if err != nil {
+		return err
+	}
+	if err := m.WaitReady(ctx); err != nil {
+		return err
+	}
+	if err := m.WaitMembers(ctx, m.Nodes()[0], len(m.Nodes())); err != nil {
+		return err
+	}
+	return m.WaitInForce(ctx, version)
+}
+
+// apply sets resources, accepts them and returns the number of the version.
+func (m *meshRun) apply(ctx context.Context, resources resources) (uint64, error) {
+	data, err := json.Marshal(map[string]any{"resources": resources})
+	if err != nil {
+		return 0, errors.Wrap(err, "apply")
+	}
+	file := filepath.Join(m.folder, "apply.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return 0, errors.Wrap(err, "apply")
+	}
+	if out, err := m.Command(ctx, "apply", file); err != nil {
+		return 0, errors.Wrapf(err, "apply: %s", out)
+	}
+	version, err := m.Accept(ctx)
+	return version.Number, err
+}
--- /dev/null
+++ b/baobabbench/main.go
@@ -0,0 +1,54 @@
+// Command baobabbench runs an experiment with real processes on loopback and writes its results to a folder.
+//
+// An experiment is a command struct with a method run in a file of its own, listed in arguments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// An experiment measures and fills the report.
+type experiment interface {
+	run(ctx context.Context, b *bench) error
+}
+
+// arguments are the options of all experiments, and the experiments.
+type arguments struct {
+	Results string `arg:"--results" default:"results" help:"folder for results"`
+	Seed    uint64 `arg:"--seed" default:"1" help:"seed of arrivals and of the stand-ins"`
+	Before  string `arg:"--before" placeholder:"FOLDER" help:"working tree of another revision to compare with, where the experiment can"`
+	Keep    bool   `arg:"--keep" help:"keep the logs of the processes"`
+
+	Latency *latencyCmd `arg:"subcommand:latency" help:"latency that the mesh adds to a call, and its processor time"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "Runs an experiment with real processes on loopback and writes its results to a folder."
+}
+
+func main() {
+	var a arguments
+	p := arg.MustParse(&a)
+	e, ok := p.Subcommand().(experiment)
+	if !ok {
+		p.Fail("an experiment is required")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	b, err := newBench(p.SubcommandNames()[0], strings.Join(os.Args[1:], " "), a)
+	if err == nil {
+		err = b.measure(ctx, e)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "baobabbench:", err)
+		os.Exit(1)
+	}
+}
--- a/baobabemulator/binaries.go
+++ b/baobabemulator/binaries.go
@@ -21,15 +21,21 @@
 	if err != nil {
 		return Binaries{}, errors.Wrap(err, "find module")
 	}
+	return BuildBinariesOf(filepath.Dir(strings.TrimSpace(string(mod))), folder)
+}
+
+// BuildBinariesOf builds the programs of the module in the given folder, for example of another revision.
+func BuildBinariesOf(module, folder string) (Binaries, error) {
 	b := Binaries{
-		product: filepath.Join(folder, "baobabdale"), standin: filepath.Join(folder, "baobabmesh"),
-		module: filepath.Dir(strings.TrimSpace(string(mod))),
+		product: filepath.Join(folder, "baobabdale"), standin: filepath.Join(folder, "baobabmesh"), module: module,
 	}
 	for _, v := range []struct{ output, pkg string }{
 		{b.product, "github.com/baobabdale/baobabdale"},
 		{b.standin, "github.com/baobabdale/baobabdale/baobabmesh"},
 	} {
-		out, err := exec.Command("go", "build", "-o", v.output, v.pkg).CombinedOutput()
+		build := exec.Command("go", "build", "-o", v.output, v.pkg)
+		build.Dir = module
+		out, err := build.CombinedOutput()
 		if err != nil {
 			return Binaries{}, errors.Wrapf(err, "build %s: %s", v.pkg, out)
 		}
@@ -42,3 +48,6 @@
 
 // Standin returns the path of the program of the stand-ins.
 func (b Binaries) Standin() string { return b.standin }
+
+// Module returns the folder of the module.
+func (b Binaries) Module() string { return b.module }
