route: avoid endpoints whose node cannot be reached, whatever their number

Cause: probes stay inside a failure domain, so the nodes of a lost one stay in the member tables of the others. The bound on ejections (a third of a service's endpoints) then kept most of the lost endpoints in use, and each call to one waits for a connection. Ruled out: a higher bound on ejections, because failed answers can be the request's fault and must not eject all. Change: a failed connection starts a cooldown of 0.2 s that doubles to 5 s; endpoints in it are chosen only when there is no other. A failed connection no longer counts towards ejection.

--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -256,6 +256,11 @@
 // verdictOf says what the end of an attempt without an answer tells about the endpoint.
 func verdictOf(ctx context.Context, end attemptEnd) route.Verdict {
 	switch end.ending.(type) {
+	case route.NotSent:
+		if ctx.Err() != nil {
+			return route.VerdictAbandoned
+		}
+		return route.VerdictUnreachable
 	case route.Refused:
 		if end.refusal.Reason() == call.ReasonUpstreamUnavailable {
 			return route.VerdictFailure
--- a/baobabroute/chooser.go
+++ b/baobabroute/chooser.go
@@ -88,31 +88,43 @@
 	// threshold is drawn once per choice: endpoints with a lower weight take no part. Drawing it for each look at an
 	// endpoint would give cold endpoints several chances in one choice.
 	threshold float64
+	cooling   bool // Whether endpoints whose last connection failed a short time ago take part.
 }
 
 // Choose returns an endpoint that is not excluded, draining or ejected, or a refusal with OutcomeNotRun. It takes
 // the nearest tier with an endpoint that is not overloaded; when all are overloaded, the one with the least expected
-// wait. Excluded may be nil.
+// wait. Endpoints whose node could not be reached a short time ago are taken only when there is no other, whatever
+// their number: unlike ejection, which judges by answers and is bounded, a failed connection leaves no doubt. Excluded
+// may be nil.
 func (c *Chooser) Choose(now time.Time, random *rand.Rand, set *Set, excluded func(id string) bool) (Candidate, *call.Refusal) {
 	h := choice{Chooser: c, now: now, random: random, set: set, excluded: excluded, threshold: random.Float64()}
+	if candidate, ok := h.nearest(); ok {
+		return candidate, nil
+	}
+	h.cooling = true
+	if candidate, ok := h.nearest(); ok {
+		return candidate, nil
+	}
+	return Candidate{}, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "no usable endpoint of service "+set.service)
+}
+
+// nearest returns the endpoint of the nearest tier that is not overloaded, else the one with the least expected wait.
+func (h choice) nearest() (Candidate, bool) {
 	var best pick
 	found := false
-	for _, tier := range set.tiers {
+	for _, tier := range h.set.tiers {
 		p, ok := h.ofTwo(tier)
 		if !ok {
 			continue
 		}
 		if !p.overloaded {
-			return p.candidate, nil
+			return p.candidate, true
 		}
 		if !found || p.wait < best.wait {
 			best, found = p, true
 		}
 	}
-	if !found {
-		return Candidate{}, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "no usable endpoint of service "+set.service)
-	}
-	return best.candidate, nil
+	return best.candidate, found
 }
 
 // ofTwo draws two endpoints of a tier and returns the better one. Cold endpoints that take no part in this choice
@@ -169,7 +181,7 @@
 		return pick{}, false
 	}
 	state := h.signals.State(h.now, candidate.id)
-	if state.draining || h.ejections.Ejected(h.now, h.set, candidate.id) {
+	if state.draining || (state.cooling && !h.cooling) || h.ejections.Ejected(h.now, h.set, candidate.id) {
 		return pick{}, false
 	}
 	return pick{
--- a/baobabroute/chooser_test.go
+++ b/baobabroute/chooser_test.go
@@ -228,3 +228,48 @@
 func BenchmarkChoose4000Endpoints410Services(b *testing.B) { benchmarkChoose(b, 410, 4000) }
 
 func BenchmarkChoose4000EndpointsOneService(b *testing.B) { benchmarkChoose(b, 1, 4000) }
+
+// TestLostFailureDomains guards against calls that wait for endpoints of lost failure domains one after another, because
+// the bound on ejections keeps most of them in use, and against endpoints that stay avoided after their return.
+func TestLostFailureDomains(t *testing.T) {
+	signals := NewSignals()
+	c := NewChooser(signals)
+	set := NewSet("s", "a", "r1", append(candidates("b", "r2", 10), candidates("c", "r2", 5)...))
+	lost := func(id string) bool { return id[0] == 'b' }
+	random := newRandom()
+	failed := 0
+	choose := func(now time.Time) string {
+		k, refusal := c.Choose(now, random, set, nil)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		return k.ID()
+	}
+	const calls = 1000 // One per 10 ms.
+	for i := range calls {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		id := choose(now)
+		signals.Started(now, id)
+		verdict := VerdictSuccess
+		if lost(id) {
+			verdict = VerdictUnreachable
+			failed++
+		}
+		c.Finished(now, set, id, NewResult(verdict, 5*time.Millisecond))
+	}
+	// Ten endpoints with cooldowns of 0.2, 0.4, 0.8, 1.6, 3.2 and 5 s are tried at most 6 times each in 10 s.
+	if failed > 60 {
+		t.Errorf("%d of %d calls went to lost endpoints, want at most 60", failed, calls)
+	}
+	returned := map[string]bool{}
+	for i := range calls {
+		now := start.Add(20*time.Second + time.Duration(i)*10*time.Millisecond)
+		id := choose(now)
+		returned[id] = true
+		signals.Started(now, id)
+		c.Finished(now, set, id, NewResult(VerdictSuccess, 5*time.Millisecond))
+	}
+	if len(returned) != set.Len() {
+		t.Errorf("%d of %d endpoints are chosen after the return", len(returned), set.Len())
+	}
+}
--- a/baobabroute/result.go
+++ b/baobabroute/result.go
@@ -7,10 +7,11 @@
 
 // Verdicts.
 const (
-	VerdictSuccess   Verdict = iota // Answered; the latency counts.
-	VerdictFailure                  // The endpoint failed: unreachable, connection died, server error, no answer in time.
-	VerdictRefused                  // The endpoint's node refused the call, for example because its queue is full.
-	VerdictAbandoned                // The caller went away; says nothing about the endpoint.
+	VerdictSuccess     Verdict = iota // Answered; the latency counts.
+	VerdictFailure                    // The endpoint failed: connection died, server error, no answer in time.
+	VerdictRefused                    // The endpoint's node refused the call, for example because its queue is full.
+	VerdictAbandoned                  // The caller went away; says nothing about the endpoint.
+	VerdictUnreachable                // No stream to the endpoint's node could be opened; starts a cooldown.
 )
 
 // A Result is the end of a call at an endpoint.
--- a/baobabroute/signals.go
+++ b/baobabroute/signals.go
@@ -9,7 +9,11 @@
 )
 
 const (
-	signalShards = 64 // A power of two.
+	// minCooldown covers a restart of a node's process; maxCooldown bounds how late a returning node is noticed.
+	minCooldown      = 200 * time.Millisecond
+	maxCooldown      = 5 * time.Second
+	maxCooldownShift = 8
+	signalShards     = 64 // A power of two.
 	// latencyShare and failureShare are the weight of one sample.
 	latencyShare = 0.1
 	failureShare = 0.1
@@ -48,6 +52,8 @@
 	consecutive int
 	ended       int
 	drainingAt  time.Time // Zero: not seen draining.
+	unreachable int       // Failed connections in a row.
+	coolUntil   time.Time // End of the cooldown after the last failed connection.
 	silentSince time.Time // Last answer, or start of the first call since; counts while calls are in flight.
 	usedAt      time.Time
 }
@@ -174,19 +180,31 @@
 	switch r.verdict {
 	case VerdictSuccess:
 		e.consecutive = 0
+		e.unreachable, e.coolUntil = 0, time.Time{}
 		e.ended++
 		e.addLatency(float64(r.latency))
 		e.addRates(now, 0, 0)
+	case VerdictUnreachable:
+		e.coolUntil = now.Add(cooldown(e.unreachable))
+		e.unreachable++
 	case VerdictFailure:
+		e.unreachable = 0
 		e.consecutive++
 		e.ended++
 		e.addRates(now, 1, 0)
 	case VerdictRefused:
+		e.unreachable = 0
 		e.addRates(now, 0, 1)
 	case VerdictAbandoned:
 	}
 }
 
+// cooldown returns how long an endpoint is avoided after a failed connection that follows n others. It doubles up to
+// maxCooldown, so that a lost failure domain costs few calls and one that returns is found soon.
+func cooldown(n int) time.Duration {
+	return min(minCooldown<<min(n, maxCooldownShift), maxCooldown)
+}
+
 func (e *signal) addLatency(sample float64) {
 	if e.latency == 0 {
 		e.latency = sample
@@ -206,6 +224,7 @@
 	s := State{
 		inFlight: e.inFlight, latency: time.Duration(e.latency), consecutiveFailures: e.consecutive, ended: e.ended,
 		draining: !e.drainingAt.IsZero() && now.Sub(e.drainingAt) < drainingMemory,
+		cooling:  now.Before(e.coolUntil),
 	}
 	if e.inFlight > 0 {
 		s.silence = max(now.Sub(e.silentSince), 0)
--- a/baobabroute/state.go
+++ b/baobabroute/state.go
@@ -26,6 +26,7 @@
 	consecutiveFailures int
 	ended               int // Calls that ended with success or failure.
 	draining            bool
+	cooling             bool // The last connection failed a short time ago.
 }
 
 // InFlight returns the number of calls in flight from this node.
