node, caller, operator, command: metrics and messages that operators can rely on

Change: one counter per refusal, at the callers' edge, from which status reads too; baobab_caller_unread_total; baobab_ingress_retries_stopped_total apart from retries; admission refusals and grants by rank; claims in doubt; quarantined fingerprints; state of the local upstream; all reasons of baobab_peer_refused_total from the start; the cause of unauthorized requests.

--- a/baobabcaller/answer.go
+++ b/baobabcaller/answer.go
@@ -29,7 +29,7 @@
 func (h *Handler) writeAnswer(w http.ResponseWriter, r *http.Request, a *call.Answer) {
 	defer closeBody(a)
 	header := w.Header()
-	for name, values := range forwardable(a.Header(), answerControl) {
+	for name, values := range forwardable(a.Header()) {
 		header[name] = values
 	}
 	if !r.ProtoAtLeast(1, 1) && header.Get("Content-Length") == "" && hasBody(r, a) {
--- /dev/null
+++ b/baobabcaller/countinglistener.go
@@ -0,0 +1,60 @@
+package baobabcaller
+
+import (
+	"bytes"
+	"net"
+)
+
+// The HTTP server writes these answers itself, before a request reaches the handler. Answers of the handler have
+// other header fields after the first line.
+var (
+	serverAnswerTooLarge  = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n")
+	serverAnswerMalformed = []byte("HTTP/1.1 400 Bad Request")
+	serverAnswerEnd       = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n")
+)
+
+// A countingListener counts requests that the HTTP server refuses by itself.
+type countingListener struct {
+	net.Listener
+	meters *meters
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &countingConn{TCPConn: t, meters: l.meters}, nil
+}
+
+// A countingConn looks at the start of each write; it changes nothing.
+type countingConn struct {
+	*net.TCPConn
+	meters *meters
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	switch {
+	case bytes.HasPrefix(b, serverAnswerTooLarge):
+		c.meters.overSize.Inc()
+	case isServerMalformed(b):
+		c.meters.malformed.Inc()
+	}
+	return c.TCPConn.Write(b)
+}
+
+// isServerMalformed reports whether b is an answer of the server to a request that it cannot read; some name what is
+// wrong on the first line.
+func isServerMalformed(b []byte) bool {
+	if !bytes.HasPrefix(b, serverAnswerMalformed) {
+		return false
+	}
+	i := bytes.Index(b, []byte("\r\n"))
+	return i >= 0 && bytes.HasPrefix(b[i:], serverAnswerEnd)
+}
--- a/baobabcaller/edge.go
+++ b/baobabcaller/edge.go
@@ -52,6 +52,7 @@
 	// This goroutine keeps the tomb alive until Shutdown, so that an edge without listeners can stop.
 	e.tomb.Go(func() error {
 		for _, l := range listeners {
+			l = &countingListener{Listener: l, meters: e.handler.meters}
 			e.tomb.Go(func() error { return e.accept(l) })
 		}
 		<-e.tomb.Dying()
--- a/baobabcaller/edge_test.go
+++ b/baobabcaller/edge_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	call "github.com/baobabdale/baobabdale/baobabcall"
 )
 
@@ -129,3 +133,55 @@
 		t.Error("Shutdown returned no error after the listener failed")
 	}
 }
+
+// TestUnreadRequests guards against requests that the HTTP server refuses by itself and nobody counts.
+func TestUnreadRequests(t *testing.T) {
+	set := metrics.NewSet()
+	server := serverFunc(func(context.Context, time.Time, *call.Call) (*call.Answer, *call.Refusal) {
+		return nil, notRun(call.ReasonNoRoute, "none")
+	})
+	edge := NewEdge(NewHandler(server, WithMetrics(set), WithMaxHeaderBytes(1000)), WithGrace(0))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+	edge.Start(l)
+	for _, c := range []struct{ request, answer, cause string }{
+		{"GET / HTTP/1.1\r\nHost: a\r\nBig: " + strings.Repeat("a", 30_000) + "\r\n\r\n", "HTTP/1.1 431", "over_size"},
+		{"nonsense\r\n\r\n", "HTTP/1.1 400", "malformed"},
+		{"GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400", "malformed"},
+		{"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", "HTTP/1.1 404", ""},
+	} {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := unread(set)
+		if _, err := io.WriteString(conn, c.request); err != nil {
+			t.Fatal(err)
+		}
+		answer, _ := io.ReadAll(conn)
+		if !strings.HasPrefix(string(answer), c.answer) {
+			t.Errorf("%.30q: answer %.60q, want %s", c.request, answer, c.answer)
+		}
+		want := before
+		if c.cause != "" {
+			want[c.cause]++
+		}
+		if got := unread(set); !maps.Equal(got, want) {
+			t.Errorf("%.30q: counters %v, want %v", c.request, got, want)
+		}
+		_ = conn.Close()
+	}
+	if err := edge.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
+func unread(set *metrics.Set) map[string]uint64 {
+	counts := map[string]uint64{}
+	for _, cause := range []string{"malformed", "over_size"} {
+		counts[cause] = set.GetOrCreateCounter(fmt.Sprintf("baobab_caller_unread_total{cause=%q}", cause)).Get()
+	}
+	return counts
+}
--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -27,9 +27,11 @@
 	ids            *identifiers
 	maxBodyBytes   int64         // Also the limit of answers to HTTP/1.0 callers.
 	maxHeaderBytes int           // Sum of names and values.
+	maxCalls       int64         // Calls in progress; 0 means no bound.
 	bodyTimeout    time.Duration // Time in which the request body must arrive.
 	writeTimeout   time.Duration // Time in which the caller must take each piece of the answer.
 	clock          func() time.Time
+	inProgress     atomic.Int64
 	closing        atomic.Bool // Set: each answer asks the caller to close its connection.
 }
 
@@ -42,6 +44,9 @@
 // WithMaxHeaderBytes sets the largest sum of header names and values.
 func WithMaxHeaderBytes(n int) Option { return func(h *Handler) { h.maxHeaderBytes = n } }
 
+// WithMaxCalls bounds the calls in progress; further ones are refused as queue_full.
+func WithMaxCalls(n int) Option { return func(h *Handler) { h.maxCalls = int64(n) } }
+
 // WithBodyTimeout sets the time in which a request body must arrive.
 func WithBodyTimeout(d time.Duration) Option { return func(h *Handler) { h.bodyTimeout = d } }
 
@@ -86,6 +91,9 @@
 	h.mux.ServeHTTP(w, r)
 }
 
+// Refusals returns the number of refusals by reason, without reasons that have not occurred.
+func (h *Handler) Refusals() map[string]uint64 { return h.meters.refusalCounts() }
+
 // Close makes each further answer ask the caller to close its connection. Calls are still served.
 func (h *Handler) Close() { h.closing.Store(true) }
 
@@ -93,6 +101,12 @@
 	now := h.clock()
 	id := h.ids.next()
 	w.Header().Set(headerCallID, id)
+	defer h.inProgress.Add(-1)
+	if h.inProgress.Add(1) > h.maxCalls && h.maxCalls > 0 {
+		w.Header().Set("Connection", "close")
+		h.writeRefusal(w, notRun(call.ReasonQueueFull, "%d calls are in progress at this node", h.maxCalls).WithRetryAfter(time.Second))
+		return
+	}
 	c, refusal := h.readCall(w, r, now, id)
 	if refusal != nil {
 		// The rest of the body may be unread, so the connection cannot carry another request.
--- a/baobabcaller/handler_test.go
+++ b/baobabcaller/handler_test.go
@@ -75,19 +75,19 @@
 	var got *call.Call
 	server := serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
 		got = c
-		return call.NewAnswer(200, http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-End": {"2"}, "Baobab-Outcome": {"forged"}}, io.NopCloser(strings.NewReader("ok"))), nil
+		return call.NewAnswer(200, http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-End": {"2"}, "Baobab-Outcome": {"forged"}, "Baobab-Other": {"forged"}}, io.NopCloser(strings.NewReader("ok"))), nil
 	})
 	url, _ := start(t, server, WithClock(func() time.Time { return now }))
 	header := http.Header{
 		"Baobab-Caller": {"practice-7"}, "Baobab-Rank": {"urgent"}, "Baobab-Timeout-Ms": {"250"},
 		"Idempotency-Key": {"k1"}, "Baobab-Retried": {"1"}, "Connection": {"X-Secret"}, "X-Secret": {"1"},
-		"Te": {"trailers"}, "X-Kept": {"a", "b"},
+		"Te": {"trailers"}, "X-Kept": {"a", "b"}, "Baobab_caller": {"forged"}, "Baobab-Call-Id": {"forged"}, "Baobab-Other": {"forged"},
 	}
 	response, body := do(t, "POST", url+"//a%2Fb/c?q=1&r", header, strings.NewReader("hello"))
 	if string(body) != "ok" || response.Header.Get("Baobab-Outcome") != "ran" {
 		t.Errorf("answer = %q, outcome %q", body, response.Header.Get("Baobab-Outcome"))
 	}
-	if response.Header.Get("X-Hop") != "" || response.Header.Get("X-End") != "2" {
+	if response.Header.Get("X-Hop") != "" || response.Header.Get("Baobab-Other") != "" || response.Header.Get("X-End") != "2" {
 		t.Errorf("answer header = %v, want X-End without X-Hop", response.Header)
 	}
 	if got.ID() == "" || response.Header.Get("Baobab-Call-Id") != got.ID() {
@@ -97,7 +97,7 @@
 	if want := "practice-7 urgent k1 true 250ms POST //a%2Fb/c?q=1&r hello\n"; text != want {
 		t.Errorf("call = %q, want %q", text, want)
 	}
-	for _, name := range []string{"Connection", "X-Secret", "Te", "Baobab-Caller", "Idempotency-Key", "Baobab-Retried", "Content-Length"} {
+	for _, name := range []string{"Connection", "X-Secret", "Te", "Baobab-Caller", "Idempotency-Key", "Baobab-Retried", "Content-Length", "Baobab_caller", "Baobab-Call-Id", "Baobab-Other"} {
 		if _, ok := got.Header()[name]; ok {
 			t.Errorf("call header has %s", name)
 		}
@@ -155,7 +155,7 @@
 			t.Errorf("%s: header %v", tt.name, response.Header)
 		}
 	}
-	if n := set.GetOrCreateCounter("baobab_caller_over_size_total").Get(); n != 3 {
+	if n := set.GetOrCreateCounter(`baobab_caller_refusals_total{reason="over_size",outcome="not_run"}`).Get(); n != 3 {
 		t.Errorf("over size counter = %d, want 3", n)
 	}
 	if n := set.GetOrCreateCounter(`baobab_caller_refusals_total{reason="malformed",outcome="not_run"}`).Get(); n != 4 {
--- a/baobabcaller/header.go
+++ b/baobabcaller/header.go
@@ -24,18 +24,17 @@
 	"Transfer-Encoding", "Upgrade",
 }
 
+// internalPrefix starts the names of fields that only the mesh sets, so that neither callers nor upstreams can forge
+// them.
+const internalPrefix = "baobab-"
+
 // requestControl lists the request fields that a Call carries outside its header, and those that concern the
 // reading of the body, which is complete.
-var requestControl = []string{
-	headerCallID, headerCaller, headerIdempotencyKey, headerRank, headerRetried, headerTimeout, "Content-Length",
-	"Expect",
-}
+var requestControl = []string{headerIdempotencyKey, "Content-Length", "Expect"}
 
-// answerControl lists the answer fields that only the mesh may set, so that an upstream cannot forge them.
-var answerControl = []string{headerCallID, headerOutcome, headerRefusal, "Baobab-Not-Started"}
-
-// forwardable returns a copy of h without hop-by-hop fields, fields named by Connection, and the fields in drop.
-func forwardable(h http.Header, drop []string) http.Header {
+// forwardable returns a copy of h without hop-by-hop fields, fields named by Connection, internal fields, and the
+// fields in drop.
+func forwardable(h http.Header, drop ...string) http.Header {
 	c := h.Clone()
 	if c == nil {
 		c = http.Header{}
@@ -51,9 +50,19 @@
 	for _, name := range drop {
 		c.Del(name)
 	}
+	for name := range c {
+		if isInternal(name) {
+			delete(c, name)
+		}
+	}
 	return c
 }
 
+// isInternal reports whether only the mesh sets a field. Many upstreams take an underscore for a hyphen.
+func isInternal(name string) bool {
+	return strings.HasPrefix(strings.ReplaceAll(strings.ToLower(name), "_", "-"), internalPrefix)
+}
+
 // headerBytes returns the size of h as sent.
 func headerBytes(h http.Header) int {
 	n := 0
--- a/baobabcaller/request.go
+++ b/baobabcaller/request.go
@@ -22,7 +22,6 @@
 // readCall reads the request whole and returns it as a call, or the refusal for the caller.
 func (h *Handler) readCall(w http.ResponseWriter, r *http.Request, now time.Time, id string) (*call.Call, *call.Refusal) {
 	if headerBytes(r.Header) > h.maxHeaderBytes {
-		h.meters.overSize.Inc()
 		return nil, notRun(call.ReasonOverSize, "header is larger than %d bytes", h.maxHeaderBytes)
 	}
 	if r.Method == http.MethodConnect {
@@ -40,7 +39,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	options = append(options, call.WithBody(body), call.WithHeader(forwardable(r.Header, requestControl)))
+	options = append(options, call.WithBody(body), call.WithHeader(forwardable(r.Header, requestControl...)))
 	return call.NewCall(id, caller, r.Method, r.Host, r.URL.RequestURI(), options...), nil
 }
 
@@ -143,7 +142,6 @@
 }
 
 func (h *Handler) refuseBody() *call.Refusal {
-	h.meters.overSize.Inc()
 	return notRun(call.ReasonOverSize, "body is larger than %d bytes", h.maxBodyBytes)
 }
 
--- a/baobabcommand/app.go
+++ b/baobabcommand/app.go
@@ -94,12 +94,13 @@
 	if !errors.As(err, &e) {
 		return text
 	}
-	if current, ok := e.Current(); ok && current.Revision > 0 {
+	current, known := e.Current()
+	if known && current.Revision > 0 {
 		text += fmt.Sprintf("\n%s/%s is now at revision %d: %s", current.Kind, current.Name, current.Revision, compact(current.Text))
 	}
 	switch e.Kind() {
 	case baobaboperator.ErrorConflict:
-		text += "\nlook at the newer value and run the command again"
+		text += "\n" + conflictHint(known)
 	case baobaboperator.ErrorUnknownOutcome:
 		text += "\nthe request may have been applied"
 		if e.OperationID() != "" {
@@ -109,6 +110,14 @@
 	return text
 }
 
+// conflictHint says what to do after a conflict. The newer resource is known unless the candidate has changed.
+func conflictHint(known bool) string {
+	if known {
+		return "look at the newer value and run the command again"
+	}
+	return "look at the newer state with diff or list, and run the command again"
+}
+
 func exitCode(err error) int {
 	var usage usageError
 	var settings *baobabsettings.Error
--- a/baobabcommand/watchcmd.go
+++ b/baobabcommand/watchcmd.go
@@ -29,23 +29,24 @@
 	shown := ""
 	for look := 1; ; look++ {
 		w := a.out
-		text, err := c.look(ctx, a, client)
+		text, key, err := c.look(ctx, a, client)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if baobaboperator.KindOf(err) == baobaboperator.ErrorUnavailable {
 			// The node may come back.
 			text = fmt.Sprintf("status is not available: %v\n", err)
+			key = text
 			w, err = a.err, nil
 		}
 		if err != nil {
 			return err
 		}
-		if text != shown {
+		if key != shown {
 			if _, err := fmt.Fprint(w, text); err != nil {
 				return errors.Wrap(err, "write output")
 			}
-			shown = text
+			shown = key
 		}
 		if look == c.Count || !pause(ctx, c.Interval) {
 			return nil
@@ -53,19 +54,26 @@
 	}
 }
 
-// look returns the status as text without the time, or as one line of JSON.
-func (c *watchCommand) look(ctx context.Context, a *app, client *baobaboperator.Client) (string, error) {
+// look returns the status as text or as one line of JSON, and a key that changes with the status but not with the
+// time and the counts, which change with each call.
+func (c *watchCommand) look(ctx context.Context, a *app, client *baobaboperator.Client) (text, key string, err error) {
 	ctx, cancel := a.request(ctx)
 	defer cancel()
 	s, err := client.Status(ctx)
 	if err != nil {
-		return "", err
+		return "", "", err
 	}
 	if a.arguments.Output == "json" {
 		line, err := json.Marshal(s)
-		return string(line) + "\n", errors.Wrap(err, "encode status")
+		return string(line) + "\n", watchKey(s), errors.Wrap(err, "encode status")
 	}
-	return formatWatch(s), nil
+	text = formatWatch(s)
+	return text, text, nil
+}
+
+// watchKey returns what a change of the status changes.
+func watchKey(s baobaboperator.Status) string {
+	return fmt.Sprintf("%s %+v", formatWatch(s), s.Members)
 }
 
 // formatWatch returns one line for the mesh and one for each node that is behind.
--- a/baobabnode/counters.go
+++ b/baobabnode/counters.go
@@ -2,65 +2,56 @@
 
 import (
 	"fmt"
-	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	call "github.com/baobabdale/baobabdale/baobabcall"
+	route "github.com/baobabdale/baobabdale/baobabroute"
 )
 
-// counters counts refusals and retries by reason, for the metrics and for the status.
+// counters counts attempts after the first by the reason of the retry, and retries that were not made by the reason
+// why not. All counters exist from the start.
 type counters struct {
-	set *metrics.Set
-
-	mu       sync.Mutex
-	refusals map[string]*metrics.Counter // Guarded by mu.
-	retries  map[string]*metrics.Counter // Guarded by mu.
+	retries map[route.RetryReason]*metrics.Counter
+	stops   map[route.StopReason]*metrics.Counter
 }
 
-// newCounters returns counters that are visible from the start for each refusal reason and each retry reason.
-func newCounters(set *metrics.Set, retryReasons []string) *counters {
-	c := &counters{set: set, refusals: map[string]*metrics.Counter{}, retries: map[string]*metrics.Counter{}}
-	for _, r := range call.Reasons() {
-		c.refusals[string(r)] = set.NewCounter(fmt.Sprintf(`baobab_ingress_refusals_total{reason=%q}`, r))
+func newCounters(set *metrics.Set) *counters {
+	c := &counters{retries: map[route.RetryReason]*metrics.Counter{}, stops: map[route.StopReason]*metrics.Counter{}}
+	for _, r := range route.RetryReasons() {
+		c.retries[r] = set.NewCounter(fmt.Sprintf("baobab_ingress_retries_total{reason=%q}", r))
 	}
-	for _, r := range retryReasons {
-		c.retries[r] = set.NewCounter(fmt.Sprintf(`baobab_ingress_retries_total{reason=%q}`, r))
+	for _, r := range route.StopReasons() {
+		c.stops[r] = set.NewCounter(fmt.Sprintf("baobab_ingress_retries_stopped_total{reason=%q}", r))
 	}
 	return c
 }
 
-// refused counts a refusal that was sent to a caller.
-func (c *counters) refused(r call.Reason) {
-	c.add(c.refusals, "baobab_ingress_refusals_total", string(r))
+// retried counts a retry.
+func (c *counters) retried(r route.RetryReason) {
+	if counter, ok := c.retries[r]; ok {
+		counter.Inc()
+	}
 }
 
-// retried counts an attempt after the first, or a retry that was stopped, by its reason.
-func (c *counters) retried(reason string) { c.add(c.retries, "baobab_ingress_retries_total", reason) }
-
-func (c *counters) refusalCounts() map[string]uint64 { return c.counts(c.refusals) }
-
-func (c *counters) retryCounts() map[string]uint64 { return c.counts(c.retries) }
-
-func (c *counters) add(m map[string]*metrics.Counter, name, reason string) {
-	c.mu.Lock()
-	counter, ok := m[reason]
-	if !ok {
-		counter = c.set.GetOrCreateCounter(fmt.Sprintf(`%s{reason=%q}`, name, reason))
-		m[reason] = counter
+// stopped counts an attempt that failed and was not retried.
+func (c *counters) stopped(r route.StopReason) {
+	if counter, ok := c.stops[r]; ok {
+		counter.Inc()
 	}
-	c.mu.Unlock()
-	counter.Inc()
 }
 
-// counts leaves out reasons that have not occurred.
-func (c *counters) counts(m map[string]*metrics.Counter) map[string]uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// counts returns retries by reason and, with the prefix "stopped_", those that were not made. Reasons that have not
+// occurred are left out.
+func (c *counters) counts() map[string]uint64 {
 	out := make(map[string]uint64)
-	for reason, counter := range m {
+	for reason, counter := range c.retries {
+		if n := counter.Get(); n > 0 {
+			out[string(reason)] = n
+		}
+	}
+	for reason, counter := range c.stops {
 		if n := counter.Get(); n > 0 {
-			out[reason] = n
+			out["stopped_"+string(reason)] = n
 		}
 	}
 	return out
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -65,15 +65,10 @@
 // Serve implements caller.Server.
 func (g *Ingress) Serve(ctx context.Context, now time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
 	r, refusal := g.route(now, c)
-	if refusal == nil {
-		var answer *call.Answer
-		answer, refusal = g.serve(ctx, r)
-		if refusal == nil {
-			return answer, nil
-		}
+	if refusal != nil {
+		return nil, refusal
 	}
-	g.counters.refused(refusal.Reason())
-	return nil, refusal
+	return g.serve(ctx, r)
 }
 
 // route finds the route of a call and the limits that it sets.
@@ -132,9 +127,9 @@
 			route.WithIdempotent(r.request.idempotent), route.WithRetriedEarlier(r.request.call.Retried()))
 		switch d := route.DecideRetry(g.now(), attempt, r.budget).(type) {
 		case route.Retry:
-			g.counters.retried(string(d.Reason()))
+			g.counters.retried(d.Reason())
 		case route.Stop:
-			g.counters.retried("stopped_" + string(d.Reason()))
+			g.counters.stopped(d.Reason())
 			return nil, last
 		}
 		if ctx.Err() != nil {
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 
-	"github.com/baobabdale/baobabdale/baobabmembership"
+	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	upstream "github.com/baobabdale/baobabdale/baobabupstream"
 )
 
-// registerMetrics registers the gauges of the node's state.
+// registerMetrics registers what the node exports beyond the counters of its edges.
 func (n *Node) registerMetrics() {
 	gauges := []struct {
 		name  string
@@ -16,19 +18,49 @@
 		{"baobab_admission_limit", func() float64 { return float64(n.gate.Load(n.now()).Limit()) }},
 		{"baobab_admission_queued", func() float64 { return float64(n.gate.Load(n.now()).Queued()) }},
 		{"baobab_admission_wait_seconds", func() float64 { return n.gate.Load(n.now()).Wait().Seconds() }},
+		{"baobab_claim_doubts", func() float64 { return float64(n.ledger.Doubts()) }},
 		{"baobab_configuration_highest_number", func() float64 { return float64(n.board.Highest()) }},
 		{"baobab_configuration_number", func() float64 { return float64(n.board.Version().Number()) }},
 		{"baobab_configuration_rejected_number", func() float64 { return float64(n.configuration.rejectedNumber()) }},
+		{"baobab_quarantine_refused", func() float64 { _, refused := n.quarantine.count(n.now()); return float64(refused) }},
+		{"baobab_quarantine_suspected", func() float64 { suspected, _ := n.quarantine.count(n.now()); return float64(suspected) }},
 	}
 	for _, g := range gauges {
 		n.metrics.NewGauge(g.name, g.value)
 	}
-	for _, s := range []baobabmembership.State{baobabmembership.StateAlive, baobabmembership.StateSuspect} {
+	for _, s := range []membership.State{membership.StateAlive, membership.StateSuspect} {
 		n.metrics.NewGauge(fmt.Sprintf(`baobab_membership_members{state=%q}`, s), func() float64 { return float64(n.countMembers(s)) })
 	}
+	for _, s := range upstream.States() {
+		n.metrics.NewGauge(fmt.Sprintf("baobab_upstream_state{state=%q}", s), func() float64 { return n.upstreamIn(s) })
+	}
+	n.metrics.RegisterMetricsWriter(n.writeAdmission)
+}
+
+// writeAdmission writes the counters of the gate. Their ranks come from the policy, so they cannot be registered at
+// the start.
+func (n *Node) writeAdmission(w io.Writer) {
+	for _, r := range n.gate.Refusals() {
+		_, _ = fmt.Fprintf(w, "baobab_admission_refusals_total{rank=%q,reason=%q} %d\n", r.Rank(), r.Reason(), r.Count())
+	}
+	p, ok := localPolicy(n.board)
+	if !ok {
+		return
+	}
+	for _, r := range p.Ranks() {
+		_, _ = fmt.Fprintf(w, "baobab_admission_granted_total{rank=%q} %d\n", r.Name(), n.gate.Granted(r.Name()))
+	}
+}
+
+// upstreamIn returns 1 if the local upstream is in the state, and 0 otherwise or without an upstream.
+func (n *Node) upstreamIn(s upstream.State) float64 {
+	if u := n.board.Upstream(); u != nil && u.State() == s {
+		return 1
+	}
+	return 0
 }
 
-func (n *Node) countMembers(s baobabmembership.State) int {
+func (n *Node) countMembers(s membership.State) int {
 	count := 0
 	for _, m := range n.members.live() {
 		if m.State() == s {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -33,6 +33,8 @@
 	lingerTime = 200 * time.Millisecond
 	// forgetInterval is how often signals of endpoints that are no longer used are dropped.
 	forgetInterval = time.Minute
+	// claimBatchSize is the greatest number of claims in one transaction.
+	claimBatchSize = 64
 )
 
 // A Node is the process on an upstream's VM.
@@ -60,6 +62,7 @@
 	starter       *starter
 	peers         *peerHandler
 	entry         *caller.Edge
+	refusals      *refusalLog
 	operators     http.Handler
 }
 
@@ -69,6 +72,7 @@
 		settings: s, logger: logger, metrics: metrics.NewSet(), tomb: new(tomb.Tomb), now: time.Now,
 		board: blackboard.NewBoard(), gate: admission.NewGate(), registry: upstream.NewRegistry(), signals: route.NewSignals(),
 	}
+	n.refusals = newRefusalLog(n.now, logger)
 	if err := n.connect(); err != nil {
 		return nil, errors.Wrap(err, "new node")
 	}
@@ -120,10 +124,12 @@
 		peer.WithMaxMessageBytes(int(s.Limits().MaxMessageSize().Bytes())),
 		peer.WithSameDomain(n.sameDomain),
 		peer.WithDial(dialFrom(s.Listen().Peer())),
+		peer.WithRefused(n.refusals.link),
 	)
 	n.ledger = claim.NewLedger(claimStore{store: store},
 		claim.WithInFlight(s.Claim().MaxInFlight()),
 		claim.WithRetention(s.Claim().Retention()),
+		claim.WithBatch(s.Claim().BatchDelay(), claimBatchSize),
 	)
 	return nil
 }
@@ -162,7 +168,7 @@
 
 func (n *Node) buildEdges() {
 	s := n.settings
-	counters := newCounters(n.metrics, retryReasons())
+	counters := newCounters(n.metrics)
 	status := &statusController{
 		board: n.board, members: n.members, admitter: n.admitter, counters: counters, transport: n.transport, now: n.now,
 	}
@@ -179,10 +185,13 @@
 	handler := caller.NewHandler(ingress,
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
 		caller.WithMaxHeaderBytes(int(s.Limits().MaxHeaderSize().Bytes())),
+		caller.WithMaxCalls(s.Limits().MaxCalls()),
 		caller.WithMetrics(n.metrics))
+	status.refusals = handler.Refusals
 	n.entry = caller.NewEdge(handler, caller.WithGrace(s.Shutdown().GracePeriod()))
 	service := &operatorService{book: n.configuration.book, configuration: n.configuration, status: status}
-	n.operators = operator.NewServer(service, n.starter, s.Operator().Token(), operator.WithMetrics(n.metrics))
+	n.operators = operator.NewServer(service, n.starter, s.Operator().Token(), operator.WithMetrics(n.metrics),
+		operator.WithUnauthorized(n.refusals.operator))
 }
 
 // listeners are the sockets of a node.
--- a/baobabnode/operatorservice.go
+++ b/baobabnode/operatorservice.go
@@ -161,7 +161,7 @@
 	if len(e.Problems()) > 0 {
 		options = append(options, operator.WithProblems(problemTexts(e.Problems())))
 	}
-	return operator.NewError(operation, toOperatorKind(e.Kind()), e.Error(), options...)
+	return operator.NewError(operation, toOperatorKind(e.Kind()), e.Text(), options...)
 }
 
 func toOperatorKind(k release.Kind) operator.ErrorKind {
--- a/baobabnode/quarantinecontroller.go
+++ b/baobabnode/quarantinecontroller.go
@@ -49,6 +49,22 @@
 	return c.list.Refused(now, fingerprintOf(r))
 }
 
+// count returns the number of fingerprints that were in progress at a crash, and of those that are refused.
+func (c *quarantineController) count(now time.Time) (suspected, refused int) {
+	seen := map[quarantine.Fingerprint]bool{}
+	for _, r := range c.list.Reports(now) {
+		f := r.Fingerprint()
+		if seen[f] {
+			continue
+		}
+		seen[f] = true
+		if _, ok := c.list.Refused(now, f); ok {
+			refused++
+		}
+	}
+	return len(seen), refused
+}
+
 // crashed reports that the upstream's connection failed while it ran a request.
 func (c *quarantineController) crashed(now time.Time, r *admissionRequest, u *blackboard.Upstream) {
 	report, added := c.list.Report(now, fingerprintOf(r), u.ID(), r.call.ID())
--- a/baobabnode/statuscontroller.go
+++ b/baobabnode/statuscontroller.go
@@ -33,6 +33,7 @@
 	members   *members
 	admitter  *Admitter
 	counters  *counters
+	refusals  func() map[string]uint64 // What callers of this node were refused, by reason.
 	transport *peer.Transport
 	now       func() time.Time
 }
@@ -48,8 +49,8 @@
 		Version:       toWireVersion(c.board.Version()),
 		Endpoint:      self.Wire(now).GetEndpoint(),
 		Load:          toWireLoad(c.admitter.Load(now)),
-		Refusals:      c.counters.refusalCounts(),
-		Retries:       c.counters.retryCounts(),
+		Refusals:      c.refusals(),
+		Retries:       c.counters.counts(),
 	}
 	if f := c.board.InForce(); f != nil {
 		s.InForceMs = now.Sub(f.Since()).Milliseconds()
--- a/baobabnode/wiring.go
+++ b/baobabnode/wiring.go
@@ -12,7 +12,6 @@
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
-	route "github.com/baobabdale/baobabdale/baobabroute"
 	settings "github.com/baobabdale/baobabdale/baobabsettings"
 )
 
@@ -80,18 +79,6 @@
 	return admission.NewPolicy(ranks, p.QueueLimit(), p.CallerFloorPercent())
 }
 
-// retryReasons returns the reasons for retries and, with a prefix, for stopping.
-func retryReasons() []string {
-	var list []string
-	for _, r := range route.RetryReasons() {
-		list = append(list, string(r))
-	}
-	for _, r := range route.StopReasons() {
-		list = append(list, "stopped_"+string(r))
-	}
-	return list
-}
-
 // ignoreClosed returns nil for the error of a server that was closed because the node stops.
 func ignoreClosed(err error, t *tomb.Tomb) error {
 	if !t.Alive() {
--- a/baobaboperator/server.go
+++ b/baobaboperator/server.go
@@ -28,6 +28,12 @@
 	maxNameBytes = 128
 )
 
+// Causes of unauthorized requests.
+const (
+	causeMissing = "missing"
+	causeWrong   = "wrong"
+)
+
 // A Server serves the operators' API under /v1 and, without a token, /metrics, /healthz and /readyz.
 type Server struct {
 	service      Service
@@ -38,6 +44,7 @@
 	maxBodyBytes int64
 	timeout      time.Duration
 	mux          *goji.Mux
+	unauthorized func(cause, address string)
 }
 
 // ServerOption sets an optional property of a Server.
@@ -55,11 +62,18 @@
 // WithTimeout sets the time allowed for one request.
 func WithTimeout(d time.Duration) ServerOption { return func(s *Server) { s.timeout = d } }
 
+// WithUnauthorized sets a function that is called for each request without the right token. The cause is "missing" or
+// "wrong".
+func WithUnauthorized(f func(cause, address string)) ServerOption {
+	return func(s *Server) { s.unauthorized = f }
+}
+
 // NewServer returns a server that requires the token on all routes under /v1.
 func NewServer(service Service, readiness Readiness, token string, options ...ServerOption) *Server {
 	s := &Server{
 		service: service, readiness: readiness, tokenDigest: sha256.Sum256([]byte(token)), clock: time.Now,
 		metrics: metrics.NewSet(), maxBodyBytes: defaultMaxBodyBytes, timeout: defaultTimeout, mux: goji.NewMux(),
+		unauthorized: func(string, string) {},
 	}
 	for _, o := range options {
 		o(s)
@@ -88,20 +102,32 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 func (s *Server) requireToken(next http.Handler) http.Handler {
-	refused := s.metrics.GetOrCreateCounter("baobab_operator_unauthorized_total")
+	const name = "baobab_operator_unauthorized_total{cause=%q}"
+	missing := s.metrics.GetOrCreateCounter(fmt.Sprintf(name, causeMissing))
+	wrong := s.metrics.GetOrCreateCounter(fmt.Sprintf(name, causeWrong))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		digest := sha256.Sum256([]byte(token))
-		if !ok || token == "" || subtle.ConstantTimeCompare(digest[:], s.tokenDigest[:]) != 1 {
-			refused.Inc()
-			w.Header().Set("WWW-Authenticate", "Bearer")
-			writeError(w, NewError("authorize", ErrorUnauthorized, "the bearer token is missing or wrong"))
-			return
+		switch {
+		case !ok || token == "":
+			missing.Inc()
+			s.refuse(w, r, causeMissing)
+		case subtle.ConstantTimeCompare(digest[:], s.tokenDigest[:]) != 1:
+			wrong.Inc()
+			s.refuse(w, r, causeWrong)
+		default:
+			next.ServeHTTP(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
+// refuse answers a request without the right token.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, cause string) {
+	s.unauthorized(cause, r.RemoteAddr)
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	writeError(w, NewError("authorize", ErrorUnauthorized, "the bearer token is "+cause))
+}
+
 // handler runs an operation with a time limit and writes its result or its error as JSON.
 func (s *Server) handler(operation string, run func(context.Context, *http.Request) (any, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/baobaboperator/server_test.go
+++ b/baobaboperator/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -86,7 +87,11 @@
 			refused++
 		}
 	}
-	if n := set.GetOrCreateCounter("baobab_operator_unauthorized_total").Get(); n != uint64(refused) {
+	n := uint64(0)
+	for _, cause := range []string{"missing", "wrong"} {
+		n += set.GetOrCreateCounter(fmt.Sprintf("baobab_operator_unauthorized_total{cause=%q}", cause)).Get()
+	}
+	if n != uint64(refused) {
 		t.Errorf("%d unauthorized requests counted, want %d", n, refused)
 	}
 	q := httptest.NewRequest(http.MethodGet, "/v1/status", nil)
--- a/baobabpeer/counters.go
+++ b/baobabpeer/counters.go
@@ -17,6 +17,11 @@
 	refusedStreams   = "streams"
 )
 
+// refusedReasons are all refusal reasons, so that each counter exists from the start.
+var refusedReasons = []string{
+	refusedAccepted, refusedHandshake, refusedLinks, refusedMalformed, refusedOversize, refusedProof, refusedStreams,
+}
+
 // counters hold all metrics of a transport.
 type counters struct {
 	set       *metrics.Set
@@ -38,6 +43,9 @@
 		idle:      set.GetOrCreateCounter(`baobab_peer_links_closed_total{reason="idle"}`),
 		redialled: set.GetOrCreateCounter(`baobab_peer_redials_total`),
 	}
+	for _, reason := range refusedReasons {
+		c.refusedCounter(reason)
+	}
 	for _, domain := range []string{"other", "same"} {
 		b := &byteCounters{
 			linkIn:  linkBytes(set, domain, "in"),
@@ -62,7 +70,11 @@
 	return set.GetOrCreateCounter(fmt.Sprintf(name, class, direction, domain))
 }
 
+func (c *counters) refusedCounter(reason string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf(`baobab_peer_refused_total{reason=%q}`, reason))
+}
+
 // refused counts a refused link or stream.
 func (c *counters) refused(reason string) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`baobab_peer_refused_total{reason=%q}`, reason)).Inc()
+	c.refusedCounter(reason).Inc()
 }
--- a/baobabpeer/options.go
+++ b/baobabpeer/options.go
@@ -39,6 +39,7 @@
 	dial           func(ctx context.Context, address string) (net.Conn, error)
 	sameDomain     func(address string) bool
 	set            *metrics.Set
+	refused        func(reason, address string, err error)
 }
 
 func newOptions(list []Option) options {
@@ -58,6 +59,7 @@
 		},
 		sameDomain: func(string) bool { return true },
 		set:        metrics.NewSet(),
+		refused:    func(string, string, error) {},
 	}
 	for _, f := range list {
 		f(&o)
@@ -107,3 +109,9 @@
 
 // WithMetrics sets the set that receives the counters.
 func WithMetrics(set *metrics.Set) Option { return func(o *options) { o.set = set } }
+
+// WithRefused sets a function that is called when the authentication of a link fails, with the reason under which
+// it is counted and the address of the other side.
+func WithRefused(refused func(reason, address string, err error)) Option {
+	return func(o *options) { o.refused = refused }
+}
--- a/baobabpeer/sharedkey.go
+++ b/baobabpeer/sharedkey.go
@@ -58,6 +58,8 @@
 	}
 	other := reply[:nonceBytes]
 	if !hmac.Equal(reply[nonceBytes:], k.proof("acceptor", nonce, other)) {
+		// A proof that cannot be right tells the other side why the link ends.
+		_, _ = c.Write(make([]byte, proofBytes))
 		return nil, errWrongProof
 	}
 	if _, err := c.Write(k.proof("dialler", nonce, other)); err != nil {
--- a/baobabpeer/transport.go
+++ b/baobabpeer/transport.go
@@ -129,7 +129,7 @@
 	}
 	t.mu.Unlock()
 	if err != nil {
-		t.countHandshake(err)
+		t.refuseHandshake(c.RemoteAddr().String(), err)
 		_ = c.Close()
 		return
 	}
@@ -156,12 +156,14 @@
 	return newLink(t, address, t.bytesOf(address), secure, false)
 }
 
-func (t *Transport) countHandshake(err error) {
+// refuseHandshake counts and reports a link that could not be authenticated.
+func (t *Transport) refuseHandshake(address string, err error) {
+	reason := refusedHandshake
 	if errors.Is(err, errWrongProof) {
-		t.counters.refused(refusedProof)
-		return
+		reason = refusedProof
 	}
-	t.counters.refused(refusedHandshake)
+	t.counters.refused(reason)
+	t.options.refused(reason, address, err)
 }
 
 func (t *Transport) bytesOf(address string) *byteCounters {
@@ -332,7 +334,7 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
-		t.countHandshake(err)
+		t.refuseHandshake(address, err)
 		if errors.Is(err, errWrongProof) {
 			return nil, newError("dial", KindRefused, err)
 		}
--- a/baobabrelease/error.go
+++ b/baobabrelease/error.go
@@ -75,6 +75,20 @@
 	return *e.current, true
 }
 
+// Text returns what went wrong, without the operation and the kind.
+func (e *Error) Text() string {
+	switch {
+	case len(e.problems) > 0:
+		return "the configuration is not valid"
+	case e.cause == nil:
+		return string(e.kind)
+	case e.kind == KindConflict && platform.KindOf(e.cause) == platform.KindConflict:
+		return "another operator changed it first"
+	default:
+		return e.cause.Error()
+	}
+}
+
 // Problems returns why the candidate was rejected.
 func (e *Error) Problems() []configuration.Problem { return e.problems }
 
--- a/baobabupstream/state.go
+++ b/baobabupstream/state.go
@@ -11,6 +11,9 @@
 	StateFailed   State = "failed"   // Its heartbeats are missing.
 )
 
+// States returns all states, in the order in which an upstream goes through them.
+func States() []State { return []State{StateWarming, StateReady, StateDraining, StateFailed} }
+
 // TakesCalls reports whether an upstream in this state may get new calls.
 func (s State) TakesCalls() bool { return s == StateWarming || s == StateReady }
 
