--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	// The tests run the built product. The import makes go test run them again when the product has changed.
+	// The product runs as a process of its own; the import makes cached test results depend on its code.
 	_ "github.com/baobabdale/baobabdale/baobabcommand"
 	"github.com/baobabdale/baobabdale/baobabemulator"
 )
