node: a starting node waits longer between its rounds, and starts at once when a version comes

Cause: a node that is not ready asked the platform for the seeds and the head every 200 to 400 ms and, since the head is confirmed, sent a conditional check as well. Before the first accept, or while the platform throttles, 4,000 nodes would send about 13,000 reads and as many checks per second to a platform that carries 2,000 reads and several hundred writes. Change: the pause doubles from 200 ms to 10 s; the end of the 3 s after which peers alone are enough, and a version that comes into force, end it at once. The head is not confirmed while no version is in force.

--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -19,10 +19,11 @@
 	joinAttempts = 3
 	// joinTimeout bounds one join.
 	joinTimeout = time.Second
-	// joinPauseMax bounds the pause between two rounds of joining of a node that serves alone.
-	joinPauseMax = 30 * time.Second
-	// startPause is the pause between two rounds of starting, with jitter.
-	startPause = 200 * time.Millisecond
+	// startPause is the pause after the first round of starting. It doubles up to startPauseMax, so that thousands of
+	// nodes that wait for the platform or for a first configuration do not overload the platform. A round follows at
+	// once when a version comes into force.
+	startPause    = 200 * time.Millisecond
+	startPauseMax = 10 * time.Second
 	// startJitter spreads nodes that start in the same moment.
 	startJitter = 200 * time.Millisecond
 	// withoutPlatform is how long a node waits for the platform before it trusts its peers alone.
@@ -63,8 +64,8 @@
 	}
 	begin := s.now()
 	joined, ready := false, false
-	pause := startPause
-	for ctx.Err() == nil {
+	for pause := startPause; ctx.Err() == nil; pause = min(2*pause, startPauseMax) {
+		changed := s.configuration.board.InForceChanged()
 		joined = joined || s.join(ctx)
 		if !ready {
 			reason := s.confirm(ctx, s.now().Sub(begin))
@@ -72,14 +73,21 @@
 			if ready = reason == ""; ready {
 				s.logger.Info("ready", "after", s.now().Sub(begin), "joined", joined)
 			}
-		} else {
-			pause = min(2*pause, joinPauseMax)
 		}
 		if ready && joined {
 			return nil
 		}
-		if !sleep(ctx, pause+rand.N(pause)) {
-			return nil
+		if ready {
+			changed = nil
+		}
+		wait := pause + rand.N(pause)
+		if left := withoutPlatform - s.now().Sub(begin); left > 0 {
+			wait = min(wait, left+rand.N(startPause))
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(wait):
 		}
 	}
 	return nil
@@ -132,7 +140,7 @@
 	if platformErr == nil && asked > 0 && answered == 0 && waited < withoutPlatform {
 		return "no peer has confirmed the version"
 	}
-	if platformErr == nil {
+	if platformErr == nil && s.configuration.board.Version().Number() > 0 {
 		// The read may have been stale, and the peers may lag behind the version of this node's last run.
 		platformErr = s.configuration.confirmHead(ctx, head)
 	}
