node: status shows dead members and members that left

Cause: the status asked the live members only, so an operator saw a member disappear and not that it died. Change: members that are dead or have left are listed with their state, without asking them. They do not count as behind.

--- a/baobabnode/statuscontroller.go
+++ b/baobabnode/statuscontroller.go
@@ -71,7 +71,7 @@
 	return &wire.StatusReply{Nodes: c.domain(ctx, m.GetFailureDomain())}
 }
 
-// gather returns the status of all members.
+// gather returns the status of all members. Those that are dead or have left are not asked.
 func (c *statusController) gather(ctx context.Context) []*wire.NodeStatus {
 	own := c.members.selfRecord().FailureDomain()
 	var (
@@ -93,6 +93,11 @@
 		})
 	}
 	wg.Wait()
+	for _, m := range c.members.records(nil) {
+		if !m.State().Live() {
+			list = append(list, unreachableStatus(m, ""))
+		}
+	}
 	return list
 }
 
--- a/baobabproof/failures_test.go
+++ b/baobabproof/failures_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -148,6 +149,35 @@
 	serve()
 }
 
+// TestStatusOfGoneMembers guards against a status that hides members that died or left, or that waits for them.
+func TestStatusOfGoneMembers(t *testing.T) {
+	v := startVersions(t)
+	ctx := timeout(t)
+	dead, left := v.Nodes()[0], v.Nodes()[1]
+	kill(dead)
+	if err := left.Node().Terminate(ctx); err != nil {
+		t.Fatal(err)
+	}
+	client, err := v.Operator(v.Nodes()[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	want := []baobaboperator.MemberState{
+		{State: "alive", Count: 11}, {State: "dead", Count: 1, Members: []string{dead.ID()}},
+		{State: "left", Count: 1, Members: []string{left.ID()}},
+	}
+	var status baobaboperator.Status
+	for !reflect.DeepEqual(status.Members, want) {
+		if status, err = client.Status(ctx); ctx.Err() != nil {
+			t.Fatalf("Status() = %+v, %v, want members %v", status, err, want)
+		}
+	}
+	if !status.InForce(1) {
+		t.Errorf("Status() = %+v, want version 1 in force at all that are alive", status)
+	}
+}
+
 // injection is a failure that is put in and taken out again.
 type injection struct {
 	name    string
