node: end the process after a planned stop

Cause: a node that got SIGTERM drained, logged "stopped" and never ended. Node.Run waited for all goroutines of its tomb before it closed the transport between nodes, and the goroutine that accepts links only returns when the transport is closed. Seen in baobabproof.TestRefusals, cases draining and no_upstream: 3 of 3 nodes were still there 60 s after SIGTERM, with the listeners for operators and announcements closed. Ruled out: calls in progress, which had ended; the log shows "stopped" 1.2 s after "stopping". Change: the transport is closed when the tomb is dying. The waits for calls of other nodes and for records of answers are bounded by the drain timeout like the others. Conclusion: a planned stop ends.

--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -74,21 +74,6 @@
 	return a.admitKeyed(ctx, now, r)
 }
 
-// Wait waits for answers that are being recorded, until ctx ends. It reports whether all were.
-func (a *Admitter) Wait(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		a.finishing.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // check refuses what cannot be run here, before anything is written or queued.
 func (a *Admitter) check(now time.Time, r *admissionRequest) *call.Refusal {
 	if !now.Before(r.deadline) {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -99,7 +100,6 @@
 		return nil
 	})
 	err = n.tomb.Wait()
-	_ = n.transport.Close()
 	_ = n.ledger.Close()
 	n.store.Close()
 	return errors.Wrap(err, "run node")
@@ -232,6 +232,11 @@
 func (n *Node) start(l *listeners) {
 	n.entry.Start(l.entry)
 	n.tomb.Go(func() error { return ignoreClosed(n.transport.Serve(l.peer, n.peers), n.tomb) })
+	n.tomb.Go(func() error {
+		// Serve only returns when the transport is closed, so this must not wait for the other goroutines.
+		<-n.tomb.Dying()
+		return errors.Wrap(n.transport.Close(), "close transport")
+	})
 	n.serveHTTP(l.operator, n.operators)
 	n.serveHTTP(l.announce, upstream.NewAnnouncements(n.registry))
 	for _, run := range []func(context.Context) error{
@@ -259,14 +264,31 @@
 	case <-ctx.Done():
 		n.logger.Error("calls in progress were interrupted")
 	}
-	n.peers.calls.Wait()
-	if !n.admitter.Wait(ctx) {
+	if !waitFor(ctx, &n.peers.calls) {
+		n.logger.Error("calls of other nodes were interrupted")
+	}
+	if !waitFor(ctx, &n.admitter.finishing) {
 		n.logger.Error("answers under idempotency keys were not recorded")
 	}
 	time.Sleep(lingerTime)
 	n.logger.Info("stopped")
 }
 
+// waitFor waits for a group until ctx ends. It reports whether the group has ended.
+func waitFor(ctx context.Context, group *sync.WaitGroup) bool {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	n.tomb.Go(func() error { return ignoreClosed(server.Serve(l), n.tomb) })
