call: ask the caller to wait wherever waiting helps

Cause: refusals for upstream_unavailable, peer_unreachable and draining had no Retry-After, nor had queue_full, caller_share and deadline_unmeetable before a wait could be estimated, although the same call may succeed later. Seen in baobabproof.TestRefusals: 0 of 2 upstream_unavailable and 0 of 2 peer_unreachable had the field. Change: a refusal for a reason that passes with time asks for 1 s unless an estimate is known. A refusal of a call that did run has none.

--- a/baobabcall/refusal.go
+++ b/baobabcall/refusal.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// defaultRetryAfter is what a refusal asks to wait where waiting helps and no better estimate is known: as long as
+// the mesh takes to notice a failed node and to stop sending it work.
+const defaultRetryAfter = time.Second
+
+// waitingHelps reports whether the same call may succeed later although nothing but time passes.
+func (r Reason) waitingHelps() bool {
+	switch r {
+	case ReasonCallerShare, ReasonDeadlineUnmeetable, ReasonDraining, ReasonInProgress, ReasonNoUpstream, ReasonNotReady,
+		ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull, ReasonRetryBudget, ReasonStoreUnavailable,
+		ReasonUpstreamUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // A Refusal tells the caller why its call got no answer of an upstream, and whether it was run.
 type Refusal struct {
 	reason     Reason
@@ -75,15 +91,23 @@
 	retryAfter time.Duration // Zero when waiting does not help.
 }
 
-// NewRefusal returns a refusal.
+// NewRefusal returns a refusal. Where waiting helps it asks the caller to wait for a second.
 func NewRefusal(reason Reason, outcome Outcome, detail string) *Refusal {
-	return &Refusal{reason: reason, outcome: outcome, detail: detail}
+	r := &Refusal{reason: reason, outcome: outcome, detail: detail}
+	// A call that ran does not run again later.
+	if reason.waitingHelps() && outcome != OutcomeRan {
+		r.retryAfter = defaultRetryAfter
+	}
+	return r
 }
 
-// WithRetryAfter returns a copy that asks the caller to wait for d.
+// WithRetryAfter returns a copy that asks the caller to wait for d. Zero, which means that no estimate is known,
+// changes nothing.
 func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
 	c := *r
-	c.retryAfter = d
+	if d > 0 {
+		c.retryAfter = d
+	}
 	return &c
 }
 
