upstream: an upstream that falls silent counts as failed after 2.2 s

Cause: heartbeats come each second and were missed only after 3 s, to which the interval of the check (0.25 s) and the time until the last queued call is handed over are added. A silent upstream could get new work for more than the 3 s that are promised. Seen in baobabproof.TestLeavingUpstream/heartbeats-stop: last start 2.84 s and 2.92 s after the last change, with the heartbeat up to 1 s earlier. Ruled out: late membership; only the admitting node hands work to its upstream. Change: the limit is 2.2 s, which is two missed heartbeats and some delay.

--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -6,7 +6,9 @@
 )
 
 const (
-	defaultHeartbeatLimit = 3 * time.Second
+	// defaultHeartbeatLimit is two missed heartbeats of the usual second and some delay. A limit of 3 s let an upstream
+	// that had fallen silent get new work for up to 3.25 s, and 3 s is the most that is promised.
+	defaultHeartbeatLimit = 2200 * time.Millisecond
 	// startJitter is how much the start time may move between heartbeats of the same process: it is announced as
 	// an age, so it varies with the delay of the request.
 	startJitter = 2 * time.Second
