route: a restarted node gets calls again after 3 s

Cause: an endpoint whose node answered that it drains got no calls for 30 s, also when a new process under the same id had announced itself as ready. During a rolling restart the other nodes carry the load alone for so long. Seen in baobabproof.TestPlannedStops: the first call reached the upstream 28.7 s after the restarted node was ready. Ruled out: membership; all nodes listed the restarted node as alive and ready within a second. Change: a drain is remembered for 3 s, within which membership spreads it. TestPlannedStops stops and starts the nodes and upstreams of a service in turn under steady load and checks that no request is cut; TestLeavingUpstream checks by the upstreams' histories that a leaving upstream gets no new work after 3 s.

--- a/baobabemulator/caller.go
+++ b/baobabemulator/caller.go
@@ -56,6 +56,12 @@
 // Answered reports whether the whole answer of an upstream arrived.
 func (r CallerRecord) Answered() bool { return r.Err == nil && r.Outcome == "ran" && r.Refusal == "" }
 
+// NotConnected reports whether no connection could be opened, so that the request surely did not reach the mesh.
+func (r CallerRecord) NotConnected() bool {
+	var failure *net.OpError
+	return errors.As(r.Err, &failure) && failure.Op == "dial"
+}
+
 // Idempotent reports whether the method may run more than once.
 func (r CallerRecord) Idempotent() bool {
 	return r.Request.Method == http.MethodGet || r.Request.Method == http.MethodHead
--- a/baobabproof/faults_test.go
+++ b/baobabproof/faults_test.go
@@ -99,6 +99,22 @@
 	})
 }
 
+// waitServing waits until the upstream of a node starts another call.
+func (f *faults) waitServing(ctx context.Context, n *baobabemulator.MeshNode) {
+	f.t.Helper()
+	before := -1
+	f.wait(ctx, "calls for "+n.UpstreamID(), func() bool {
+		runs, err := n.Runs()
+		if err != nil {
+			return false
+		}
+		if before < 0 {
+			before = len(runs)
+		}
+		return len(runs) > before
+	})
+}
+
 // wait waits until a condition holds.
 func (f *faults) wait(ctx context.Context, what string, holds func() bool) {
 	f.t.Helper()
--- a/baobabroute/signals.go
+++ b/baobabroute/signals.go
@@ -22,8 +22,9 @@
 	failureFade = 10 * time.Second
 	// reportFade is the time in which the weight of a load report falls to 1/e.
 	reportFade = time.Second
-	// drainingMemory bounds how long a drain is remembered; membership has spread it long before.
-	drainingMemory   = 30 * time.Second
+	// drainingMemory bounds how long a drain is remembered; membership spreads it within that time. A restarted node
+	// under the same id gets no calls before it ends.
+	drainingMemory   = 3 * time.Second
 	defaultRetention = 10 * time.Minute
 )
 
