peer: send a message with its body and end in one write

Cause: a call took five writes to yamux (call, end; head, body, end). Each write hands over to the session's sending goroutine and back, and wakes the reader at the other side.

Change: Stream.SendWhole sends a message, a body within the bound of a chunk, and the end frame with one write. The admitting node reads an answer whole first when the upstream announces at most 8 KiB; longer answers and those without a length are streamed as before.

--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	call "github.com/baobabdale/baobabdale/baobabcall"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
-// answerChunkBytes is the size of the pieces in which an answer's body is passed on.
-const answerChunkBytes = 32 << 10
+const (
+	// answerChunkBytes is the size of the pieces in which an answer's body is passed on.
+	answerChunkBytes = 32 << 10
+	// wholeAnswerBytes bounds the answers that are passed on with one write.
+	wholeAnswerBytes = 8 << 10
+)
 
 // A peerHandler serves the streams of other nodes.
 type peerHandler struct {
@@ -44,10 +50,7 @@
 		h.logger.Warn("message not handled", "err", err)
 		reply = &wire.Envelope{Body: &wire.Envelope_Error{Error: &wire.Error{Kind: "failed", Text: err.Error()}}}
 	}
-	if err := s.Send(reply); err != nil {
-		return
-	}
-	_ = s.SendEnd()
+	_ = s.SendWhole(reply, nil)
 }
 
 // answer handles a control message.
@@ -112,23 +115,39 @@
 	m := toWireAnswer(answer, refusal, h.admitter.Load(h.now()))
 	envelope := &wire.Envelope{Body: &wire.Envelope_CallAnswer{CallAnswer: m}}
 	if refusal != nil {
-		if s.Send(envelope) == nil {
-			_ = s.SendEnd()
-		}
+		_ = s.SendWhole(envelope, nil)
 		return
 	}
 	body := answer.Body()
 	defer func() { _ = body.Close() }()
-	if err := s.Send(envelope); err != nil {
+	if err := sendAnswer(s, envelope, answer, body); err != nil {
+		s.Reset()
 		drainKeyed(r, body)
-		return
+	}
+}
+
+// sendAnswer sends the head and the body of an answer. A body that the upstream announces as short is read whole
+// first and goes out with the head.
+func sendAnswer(s *peer.Stream, head *wire.Envelope, answer *call.Answer, body io.Reader) error {
+	length, err := strconv.Atoi(answer.Header().Get("Content-Length"))
+	if err == nil && length >= 0 && length <= wholeAnswerBytes {
+		short, err := io.ReadAll(body)
+		if err == nil {
+			return s.SendWhole(head, short)
+		}
+		// The part that arrived is passed on, as that of a longer answer is.
+		if s.Send(head) == nil {
+			_ = s.SendChunk(short)
+		}
+		return err
+	}
+	if err := s.Send(head); err != nil {
+		return err
 	}
 	if err := copyBody(s, body); err != nil {
-		s.Reset()
-		drainKeyed(r, body)
-		return
+		return err
 	}
-	_ = s.SendEnd()
+	return s.SendEnd()
 }
 
 // drainKeyed reads the rest of an answer that nobody waits for, so that it is recorded under its key.
--- a/baobabnode/remotenodes.go
+++ b/baobabnode/remotenodes.go
@@ -67,15 +67,7 @@
 
 func (n *remoteNodes) send(s *peer.Stream, r *admissionRequest, number int) error {
 	m := &wire.Envelope{Body: &wire.Envelope_Call{Call: toWireCall(n.now(), r, number)}}
-	if err := s.Send(m); err != nil {
-		return err
-	}
-	if len(r.call.Body()) > 0 {
-		if err := s.SendChunk(r.call.Body()); err != nil {
-			return err
-		}
-	}
-	return s.SendEnd()
+	return s.SendWhole(m, r.call.Body())
 }
 
 // lost ends an attempt of which nobody says whether it ran.
--- a/baobabpeer/frame.go
+++ b/baobabpeer/frame.go
@@ -61,6 +61,11 @@
 	binary.BigEndian.PutUint32(b[1:frameHeaderBytes], uint32(size))
 }
 
+// appendFrameHeader appends the header of a frame.
+func appendFrameHeader(b []byte, kind frameType, size int) []byte {
+	return binary.BigEndian.AppendUint32(append(b, byte(kind)), uint32(size))
+}
+
 // readFrame reads one frame. It returns io.EOF only when the reader ends before the first byte,
 // io.ErrUnexpectedEOF when it ends within the frame, and errFrameType or errFrameSize when the frame is invalid.
 // The header is read into scratch, which has 5 bytes.
--- a/baobabpeer/stream.go
+++ b/baobabpeer/stream.go
@@ -69,25 +69,62 @@
 
 // Send sends a message.
 func (s *Stream) Send(m *wire.Envelope) error {
-	if m.GetCall() != nil || m.GetCallAnswer() != nil {
-		s.class.Store(int32(classCall))
+	buffer := getBuffer()
+	defer putBuffer(buffer)
+	b, err := s.appendMessage(*buffer, m)
+	if err != nil {
+		return err
 	}
+	*buffer = b
+	return s.write(b)
+}
+
+// SendWhole sends a message, a body and its end. A body within the bound of a chunk goes out in one write, because
+// each write costs two changes of goroutines on this side and one on the other.
+func (s *Stream) SendWhole(m *wire.Envelope, body []byte) error {
 	buffer := getBuffer()
 	defer putBuffer(buffer)
-	b := append(*buffer, make([]byte, frameHeaderBytes)...)
-	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
+	b, err := s.appendMessage(*buffer, m)
 	if err != nil {
-		return newError("send", KindMalformed, err)
+		return err
 	}
 	*buffer = b
-	size := len(b) - frameHeaderBytes
-	if size > s.link.transport.options.maxMessage {
-		return newError("send", KindOversize, errFrameSize)
+	if len(body) > s.link.transport.options.maxChunk {
+		if err := s.write(b); err != nil {
+			return err
+		}
+		if err := s.SendChunk(body); err != nil {
+			return err
+		}
+		return s.SendEnd()
+	}
+	if len(body) > 0 {
+		b = append(appendFrameHeader(b, frameChunk, len(body)), body...)
 	}
-	putFrameHeader(b, frameMessage, size)
+	b = appendFrameHeader(b, frameEnd, 0)
+	*buffer = b
 	return s.write(b)
 }
 
+// appendMessage appends the frame of a message.
+func (s *Stream) appendMessage(b []byte, m *wire.Envelope) ([]byte, error) {
+	if m.GetCall() != nil || m.GetCallAnswer() != nil {
+		s.class.Store(int32(classCall))
+	}
+	start := len(b)
+	b = appendFrameHeader(b, frameMessage, 0)
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
+	if err != nil {
+		return nil, newError("send", KindMalformed, err)
+	}
+	size := len(b) - start - frameHeaderBytes
+	if size > s.link.transport.options.maxMessage {
+		return nil, newError("send", KindOversize, errFrameSize)
+	}
+	putFrameHeader(b[start:], frameMessage, size)
+	return b, nil
+}
+
 // SendChunk sends a part of the body. It splits parts that exceed the bound of a chunk, and keeps no reference.
 func (s *Stream) SendChunk(b []byte) error {
 	buffer := getBuffer()
@@ -95,9 +132,7 @@
 	limit := s.link.transport.options.maxChunk
 	for len(b) > 0 {
 		n := min(len(b), limit)
-		f := append((*buffer)[:0], make([]byte, frameHeaderBytes)...)
-		putFrameHeader(f, frameChunk, n)
-		f = append(f, b[:n]...)
+		f := append(appendFrameHeader((*buffer)[:0], frameChunk, n), b[:n]...)
 		*buffer = f
 		if err := s.write(f); err != nil {
 			return err
