--- a/baobabbench/main.go
+++ b/baobabbench/main.go
@@ -26,7 +26,10 @@
 	Before  string `arg:"--before" placeholder:"FOLDER" help:"working tree of another revision to compare with, where the experiment can"`
 	Keep    bool   `arg:"--keep" help:"keep the logs of the processes"`
 
-	Latency *latencyCmd `arg:"subcommand:latency" help:"latency that the mesh adds to a call, and its processor time"`
+	Control     *controlCmd     `arg:"subcommand:control" help:"cost of the control plane by number of nodes"`
+	Convergence *convergenceCmd `arg:"subcommand:convergence" help:"time from accept to in force at every node"`
+	Flood       *floodCmd       `arg:"subcommand:flood" help:"service by rank and caller while one rank arrives far beyond capacity"`
+	Latency     *latencyCmd     `arg:"subcommand:latency" help:"latency that the mesh adds to a call, and its processor time"`
 }
 
 // Description implements arg.Described.
