--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -20,6 +20,7 @@
 		{"baobab_admission_wait_seconds", func() float64 { return n.gate.Load(n.now()).Wait().Seconds() }},
 		{"baobab_claim_doubts", func() float64 { return float64(n.ledger.Doubts()) }},
 		{"baobab_configuration_highest_number", func() float64 { return float64(n.board.Highest()) }},
+		{"baobab_configuration_in_force_timestamp_seconds", n.inForceSince},
 		{"baobab_configuration_number", func() float64 { return float64(n.board.Version().Number()) }},
 		{"baobab_configuration_rejected_number", func() float64 { return float64(n.configuration.rejectedNumber()) }},
 		{"baobab_quarantine_refused", func() float64 { _, refused := n.quarantine.count(n.now()); return float64(refused) }},
@@ -28,6 +29,12 @@
 	for _, g := range gauges {
 		n.metrics.NewGauge(g.name, g.value)
 	}
+	for i, side := range []string{"dialled", "accepted"} {
+		n.metrics.NewGauge(fmt.Sprintf(`baobab_peer_links_open{side=%q}`, side), func() float64 {
+			dialled, accepted := n.transport.Links()
+			return float64([]int{dialled, accepted}[i])
+		})
+	}
 	for _, s := range []membership.State{membership.StateAlive, membership.StateSuspect} {
 		n.metrics.NewGauge(fmt.Sprintf(`baobab_membership_members{state=%q}`, s), func() float64 { return float64(n.countMembers(s)) })
 	}
@@ -60,6 +67,15 @@
 	return 0
 }
 
+// inForceSince returns when the version in force came into force here, in Unix seconds, or zero.
+func (n *Node) inForceSince() float64 {
+	f := n.board.InForce()
+	if f == nil {
+		return 0
+	}
+	return float64(f.Since().UnixNano()) / 1e9
+}
+
 func (n *Node) countMembers(s membership.State) int {
 	count := 0
 	for _, m := range n.members.live() {
