proof: the product's edges with real processes; a node ends after SIGTERM; errors on one line

Cause: no test showed limits, authentication between nodes, tokens, settings, SIGTERM or isolation between callers with real processes. The new tests found that a node never ended after SIGTERM: it logged "stopped" and then waited for the goroutine that accepts links, which ends only when the transport is closed, and the transport was closed only after that wait (TestLifecycle: "context deadline exceeded" after 60 s). Errors that were made with errors.Join spread one log line over three.

Change: the transport is closed as soon as the node's goroutines are asked to end (as in the branch calls). Errors of the peer package are joined on one line. Tests: TestLimits (size limits, max_calls, and every exported metric on docs/operations.md and the reverse), TestMalformedPeerMessage, TestPeerAuthentication (shared key and certificates of another authority), TestLifecycle, TestWrongSettings, TestCallerIsolation. The emulator's mesh takes credentials per node.

Not mended: a node whose key all peers refuse has no peer, so it becomes ready on the platform alone (the rule of design.md, section 6). It reaches no other node and none reaches it; the test asserts that.

--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -169,7 +169,7 @@
 		if p, ok := m.proxies[n.domain]; ok {
 			url = "http://" + p.Address()
 		}
-		if err := n.writeSettings(m.folder, url, seeds, m.spec.nodeSettings); err != nil {
+		if err := n.writeSettings(m.folder, url, seeds, m.spec.credentials(n.id), m.spec.nodeSettings); err != nil {
 			return err
 		}
 		n.process = NewProcess(n.id, filepath.Join(m.folder, n.id+".log"), m.binaries.product, "node", "--settings", n.settings)
--- a/baobabemulator/meshnode.go
+++ b/baobabemulator/meshnode.go
@@ -59,6 +59,9 @@
 // OperatorAddress returns the address of the operators' API.
 func (n *MeshNode) OperatorAddress() string { return fmt.Sprintf("%s:%d", n.address, portOperator) }
 
+// SettingsFile returns the path of the settings file of the node.
+func (n *MeshNode) SettingsFile() string { return n.settings }
+
 // UpstreamURL returns the base URL of the upstream, for direct calls.
 func (n *MeshNode) UpstreamURL() string { return fmt.Sprintf("http://%s:%d", n.address, portUpstream) }
 
@@ -119,7 +122,7 @@
 }
 
 // writeSettings writes the INI file of the node.
-func (n *MeshNode) writeSettings(folder, platformURL string, seeds []string, extra string) error {
+func (n *MeshNode) writeSettings(folder, platformURL string, seeds []string, credentials, extra string) error {
 	advertise := portPeer
 	if n.proxy != nil {
 		advertise = portAdvertise
@@ -140,9 +143,9 @@
 url = %s
 
 [peers]
-key_file = peer.key
+%s
 `, n.id, n.domain, n.address, portEntry, n.address, portPeer, n.address, advertise, n.address, portOperator,
-		n.address, portAnnounce, platformURL)
+		n.address, portAnnounce, platformURL, credentials)
 	if len(seeds) > 0 {
 		text += "seeds = " + strings.Join(seeds, ", ") + "\n"
 	}
--- a/baobabemulator/meshspec.go
+++ b/baobabemulator/meshspec.go
@@ -41,6 +41,7 @@
 	proxied         bool // Put a fault-injecting proxy before each node and before the platform.
 	embedUpstreams  bool // Run the upstreams in the launcher's process, for meshes of many nodes.
 	nodeSettings    string
+	credentials     func(id string) string // Keys of the section [peers] that authenticate a node.
 	seed            uint64
 	platformWrites  int
 	platformReads   int
@@ -66,6 +67,11 @@
 	return func(s *MeshSpec) { s.nodeSettings += text }
 }
 
+// WithMeshCredentials sets the keys of the section [peers] that authenticate each node, instead of the shared key.
+func WithMeshCredentials(credentials func(id string) string) MeshOption {
+	return func(s *MeshSpec) { s.credentials = credentials }
+}
+
 // WithMeshSeed sets the seed of all random choices of the stand-ins.
 func WithMeshSeed(seed uint64) MeshOption { return func(s *MeshSpec) { s.seed = seed } }
 
@@ -79,7 +85,7 @@
 
 // NewMeshSpec returns a specification with nodes spread over the failure domains.
 func NewMeshSpec(domains int, services []MeshService, options ...MeshOption) *MeshSpec {
-	s := &MeshSpec{domains: domains, services: services, seed: 1}
+	s := &MeshSpec{domains: domains, services: services, seed: 1, credentials: sharedKey}
 	for _, o := range options {
 		o(s)
 	}
@@ -97,3 +103,5 @@
 
 // domainName returns the name of failure domain i, counted from 1.
 func domainName(i int) string { return fmt.Sprintf("fd%d", i) }
+
+func sharedKey(string) string { return "key_file = peer.key" }
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -99,7 +99,6 @@
 		return nil
 	})
 	err = n.tomb.Wait()
-	_ = n.transport.Close()
 	_ = n.ledger.Close()
 	n.store.Close()
 	return errors.Wrap(err, "run node")
@@ -232,6 +231,11 @@
 func (n *Node) start(l *listeners) {
 	n.entry.Start(l.entry)
 	n.tomb.Go(func() error { return ignoreClosed(n.transport.Serve(l.peer, n.peers), n.tomb) })
+	n.tomb.Go(func() error {
+		// Serve only returns when the transport is closed, so this must not wait for the other goroutines.
+		<-n.tomb.Dying()
+		return errors.Wrap(n.transport.Close(), "close transport")
+	})
 	n.serveHTTP(l.operator, n.operators)
 	n.serveHTTP(l.announce, upstream.NewAnnouncements(n.registry))
 	for _, run := range []func(context.Context) error{
--- a/baobabpeer/certificates.go
+++ b/baobabpeer/certificates.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -83,7 +84,7 @@
 	var operation *net.OpError
 	alerted := errors.As(err, &operation) && operation.Op == "remote error"
 	if alerted || errors.As(err, &verification) {
-		return errors.Join(errWrongProof, err)
+		return fmt.Errorf("%w: %w", errWrongProof, err)
 	}
 	return err
 }
--- a/baobabpeer/stream.go
+++ b/baobabpeer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -143,7 +144,7 @@
 	if s.failed != nil && !errors.Is(s.failed, io.EOF) {
 		return s.failed
 	}
-	return newError("send", KindTruncated, errors.Join(io.ErrUnexpectedEOF, err))
+	return newError("send", KindTruncated, fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err))
 }
 
 // Receive returns the next message. It returns io.EOF after the end of the body, and an error that wraps
@@ -245,7 +246,7 @@
 	case err == io.EOF:
 		return frame{}, s.end(io.EOF)
 	case err != nil:
-		return frame{}, s.end(newError("receive", KindTruncated, errors.Join(io.ErrUnexpectedEOF, err)))
+		return frame{}, s.end(newError("receive", KindTruncated, fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)))
 	case f.kind == frameReset:
 		return frame{}, s.end(newError("receive", KindReset, errReset))
 	}
--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -65,6 +65,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	m := startProcesses(t, spec)
+	applyExample(t, m, deployment)
+	return m
+}
+
+// startProcesses starts a mesh without a configuration. Its logs are printed when the test fails.
+func startProcesses(t *testing.T, spec *baobabemulator.MeshSpec) *baobabemulator.Mesh {
+	t.Helper()
 	m, err := baobabemulator.NewMesh(spec, t.TempDir(), binaries)
 	if err != nil {
 		t.Fatal(err)
@@ -85,6 +93,13 @@
 	if err := m.WaitMembers(ctx, m.Nodes()[0], len(m.Nodes())); err != nil {
 		t.Fatal(err)
 	}
+	return m
+}
+
+// applyExample brings an example configuration in force everywhere.
+func applyExample(t *testing.T, m *baobabemulator.Mesh, deployment string) {
+	t.Helper()
+	ctx := timeout(t)
 	version, err := m.ApplyExample(ctx, deployment)
 	if err != nil {
 		t.Fatal(err)
@@ -95,7 +110,6 @@
 	if err := m.WaitReady(ctx); err != nil {
 		t.Fatal(err)
 	}
-	return m
 }
 
 // timeout returns a context that ends with the test at the latest.
--- /dev/null
+++ b/baobabproof/product_test.go
@@ -0,0 +1,554 @@
+package baobabproof
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/baobabdale/baobabdale/baobabemulator"
+)
+
+// productSpec returns a small mesh of three services in two failure domains.
+func productSpec(t *testing.T, options ...baobabemulator.MeshOption) *baobabemulator.MeshSpec {
+	t.Helper()
+	return baobabemulator.NewMeshSpec(2, []baobabemulator.MeshService{
+		baobabemulator.NewMeshService("availability", 2, 6, 130, 4*time.Millisecond),
+		baobabemulator.NewMeshService("deposits", 2, 6, 130, 4*time.Millisecond),
+		baobabemulator.NewMeshService("session-records", 1, 6, 130, 4*time.Millisecond),
+	}, append([]baobabemulator.MeshOption{
+		baobabemulator.WithMeshProxies(), baobabemulator.WithMeshSeed(newSeed(t)),
+	}, options...)...)
+}
+
+// response is what a client saw of one HTTP request.
+type response struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send sends one HTTP request on a connection of its own.
+func send(ctx context.Context, t *testing.T, method, url, body string, header map[string]string) response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Close = true
+	request.GetBody = nil
+	for name, value := range header {
+		request.Header[name] = []string{value}
+	}
+	r, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, url, err)
+		return response{}
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, url, err)
+	}
+	return response{status: r.StatusCode, header: r.Header, body: string(b)}
+}
+
+// metric returns the value of a metric of a node, and whether it exists.
+func metric(t *testing.T, n *baobabemulator.MeshNode, name string) (float64, bool) {
+	t.Helper()
+	for line := range strings.Lines(metricsOf(t, n)) {
+		if text, ok := strings.CutPrefix(line, name+" "); ok {
+			v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v, true
+		}
+	}
+	return 0, false
+}
+
+func metricsOf(t *testing.T, n *baobabemulator.MeshNode) string {
+	t.Helper()
+	return send(timeout(t), t, http.MethodGet, "http://"+n.OperatorAddress()+"/metrics", "", nil).body
+}
+
+// waitUntil fails the test if a condition does not hold in time.
+func waitUntil(ctx context.Context, t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("wait for %s: %v", what, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// logLines returns the number of lines in a node's log that have all of the texts.
+func logLines(t *testing.T, n *baobabemulator.MeshNode, texts ...string) int {
+	t.Helper()
+	data, err := os.ReadFile(n.Node().LogFile())
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for line := range strings.Lines(string(data)) {
+		found := true
+		for _, v := range texts {
+			found = found && strings.Contains(line, v)
+		}
+		if found {
+			count++
+		}
+	}
+	return count
+}
+
+// TestLimits guards against requests beyond a limit that are served, refused without a reason, or not counted, and
+// against metrics that operators cannot look up.
+func TestLimits(t *testing.T) {
+	m := startProcesses(t, productSpec(t, baobabemulator.WithMeshNodeSettings(
+		"[limits]\nmax_header_size = 4KiB\nmax_body_size = 32KiB\nmax_message_size = 64KiB\nmax_calls = 2\n")))
+	applyExample(t, m, "booking")
+	ctx, n := timeout(t), m.Nodes()[0]
+	const refusals = `baobab_caller_refusals_total{reason=%q,outcome="not_run"}`
+	overSize, malformed := fmt.Sprintf(refusals, "over_size"), fmt.Sprintf(refusals, "malformed")
+	for _, c := range []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		reason, metric           string
+	}{
+		{"header", "GET", "/availability", "", map[string]string{"Big": strings.Repeat("a", 4<<10)}, 413, "over_size", overSize},
+		{"huge header", "GET", "/availability", "", map[string]string{"Big": strings.Repeat("a", 60<<10)}, 431, "", `baobab_caller_unread_total{cause="over_size"}`},
+		{"body", "POST", "/deposits", strings.Repeat("a", 32<<10+1), map[string]string{"Idempotency-Key": "b"}, 413, "over_size", overSize},
+		{"timeout", "GET", "/availability", "", map[string]string{"Baobab-Timeout-Ms": "soon"}, 400, "malformed", malformed},
+		{"no route", "GET", "/nowhere", "", nil, 404, "no_route", fmt.Sprintf(refusals, "no_route")},
+		{"no key", "POST", "/deposits", "", nil, 400, "key_required", fmt.Sprintf(refusals, "key_required")},
+		{"largest body", "POST", "/deposits", strings.Repeat("a", 32<<10), map[string]string{"Idempotency-Key": "c"}, 200, "", `baobab_caller_answers_total{outcome="ran"}`},
+	} {
+		before, ok := metric(t, n, c.metric)
+		if !ok {
+			t.Errorf("%s: metric %s does not exist from the start", c.name, c.metric)
+		}
+		r := send(ctx, t, c.method, n.EntryURL()+c.path, c.body, c.header)
+		if r.status != c.status || r.header.Get("Baobab-Refusal") != c.reason {
+			t.Errorf("%s: status %d, refusal %q, body %.100q; want %d, %q", c.name, r.status, r.header.Get("Baobab-Refusal"), r.body, c.status, c.reason)
+		}
+		if c.reason != "" && (r.header.Get("Baobab-Outcome") != "not_run" || !strings.Contains(r.body, `"detail":"`)) {
+			t.Errorf("%s: outcome %q, body %.100q; want not_run with a detail", c.name, r.header.Get("Baobab-Outcome"), r.body)
+		}
+		if after, _ := metric(t, n, c.metric); after != before+1 {
+			t.Errorf("%s: %s rose from %v to %v, want one more", c.name, c.metric, before, after)
+		}
+	}
+	checkMaxCalls(t, m, n)
+	checkMetricsPage(t, n)
+}
+
+// checkMaxCalls holds as many calls as allowed and sends one more.
+func checkMaxCalls(t *testing.T, m *baobabemulator.Mesh, n *baobabemulator.MeshNode) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(timeout(t))
+	defer cancel()
+	slow := make(chan response, 2)
+	for number := range 2 {
+		go func() {
+			slow <- send(ctx, t, http.MethodGet, n.EntryURL()+"/session-records?delay_ms=5000", "", nil)
+		}()
+		waitInFlight(ctx, t, m.NodesOf("session-records"), number+1)
+	}
+	r := send(ctx, t, http.MethodGet, n.EntryURL()+"/availability", "", nil)
+	if r.status != http.StatusTooManyRequests || r.header.Get("Baobab-Refusal") != "queue_full" || r.header.Get("Retry-After") == "" {
+		t.Errorf("a call beyond max_calls: status %d, header %v; want queue_full with Retry-After", r.status, r.header)
+	}
+	for range 2 {
+		if r := <-slow; r.status != http.StatusOK {
+			t.Errorf("a call within max_calls: status %d, body %.100q", r.status, r.body)
+		}
+	}
+}
+
+// waitInFlight waits until the upstreams of the nodes run a number of calls.
+func waitInFlight(ctx context.Context, t *testing.T, nodes []*baobabemulator.MeshNode, count int) {
+	t.Helper()
+	waitUntil(ctx, t, fmt.Sprintf("%d calls in flight", count), func() bool {
+		total := 0.0
+		for _, n := range nodes {
+			v, _ := metric(t, n, "baobab_admission_in_flight")
+			total += v
+		}
+		return total == float64(count)
+	})
+}
+
+// checkMetricsPage compares the metrics of a node with docs/operations.md in both directions.
+func checkMetricsPage(t *testing.T, n *baobabemulator.MeshNode) {
+	t.Helper()
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	exported := map[string]bool{}
+	for _, name := range regexp.MustCompile(`(?m)^baobab_[a-z_]+`).FindAllString(metricsOf(t, n), -1) {
+		name = strings.TrimSuffix(strings.TrimSuffix(name, "_sum"), "_count")
+		exported[name] = true
+	}
+	documented := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `(baobab_[a-z_]+).*").FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = true
+		if !exported[row[1]] && !strings.Contains(row[0], "from the first") {
+			t.Errorf("docs/operations.md has %s, which the node does not export", row[1])
+		}
+	}
+	for name := range exported {
+		if !documented[name] {
+			t.Errorf("docs/operations.md does not have %s", name)
+		}
+	}
+}
+
+// A rawLink is an authenticated link on which a test sends what a node never sends.
+type rawLink struct {
+	conn    net.Conn
+	session *yamux.Session
+}
+
+// dialRaw authenticates with the shared key as the protocol in baobabpeer does, or returns an error.
+func dialRaw(address string, key []byte) (*rawLink, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	hello := append([]byte("baobab01"), bytes.Repeat([]byte{7}, 32)...)
+	reply := make([]byte, 64)
+	if _, err := conn.Write(hello); err != nil {
+		return nil, err
+	}
+	if _, err := io.ReadFull(conn, reply); err != nil {
+		return nil, err
+	}
+	mac := hmac.New(sha256.New, key)
+	for _, part := range [][]byte{[]byte("baobab01"), []byte("dialler"), hello[8:], reply[:32]} {
+		mac.Write(part)
+	}
+	if _, err := conn.Write(mac.Sum(nil)); err != nil {
+		return nil, err
+	}
+	if _, err := io.ReadFull(conn, reply[:1]); err != nil {
+		return nil, err
+	}
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	session, err := yamux.Client(conn, config)
+	return &rawLink{conn: conn, session: session}, err
+}
+
+// sendFrame opens a stream and sends one frame.
+func (l *rawLink) sendFrame(frame []byte) error {
+	s, err := l.session.OpenStream()
+	if err != nil {
+		return err
+	}
+	_, err = s.Write(frame)
+	return err
+}
+
+// TestMalformedPeerMessage guards against a message that ends more than its own link, and against one that is taken.
+func TestMalformedPeerMessage(t *testing.T) {
+	m := startProcesses(t, productSpec(t))
+	applyExample(t, m, "booking")
+	ctx, n := timeout(t), m.Nodes()[0]
+	key, err := os.ReadFile(filepath.Join(filepath.Dir(m.TokenFile()), "peer.key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	bystander, err := dialRaw(n.Proxy().Address(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = bystander.session.Close() }()
+	caller := baobabemulator.NewCaller("peer")
+	defer caller.Close()
+	for _, c := range []struct {
+		name, reason string
+		frame        []byte
+	}{
+		{"unknown type", "malformed", []byte{99, 0, 0, 0, 1, 0}},
+		{"no message", "malformed", []byte{1, 0, 0, 0, 3, 255, 255, 255}},
+		{"over-long", "oversize", []byte{1, 127, 255, 255, 255}},
+	} {
+		l, err := dialRaw(n.Proxy().Address(), key)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		name := fmt.Sprintf("baobab_peer_refused_total{reason=%q}", c.reason)
+		before, _ := metric(t, n, name)
+		if err := l.sendFrame(c.frame); err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		select {
+		case <-l.session.CloseChan():
+		case <-ctx.Done():
+			t.Fatalf("%s: the link stays open", c.name)
+		}
+		if after, _ := metric(t, n, name); after != before+1 {
+			t.Errorf("%s: %s rose from %v to %v, want one more", c.name, name, before, after)
+		}
+		if _, err := bystander.session.Ping(); err != nil {
+			t.Errorf("%s: another link ended: %v", c.name, err)
+		}
+		// Through a node of the other service, so that the call needs the links between nodes.
+		for _, entry := range m.NodesOf("deposits") {
+			if r := caller.Do(ctx, entry.EntryURL(), baobabemulator.CallerRequest{Method: http.MethodGet, Path: "/availability"}); !r.Answered() {
+				t.Errorf("%s: a call through %s: status %d, refusal %q, err %v", c.name, entry.ID(), r.Status, r.Refusal, r.Err)
+			}
+		}
+	}
+	checkHistories(t, m, caller.Records())
+}
+
+// TestPeerAuthentication guards against a node with a wrong key or a certificate of another authority that takes part
+// in the mesh, and against a log line for each of its attempts.
+func TestPeerAuthentication(t *testing.T) {
+	folder := t.TempDir()
+	own, other := newAuthority(t, "own"), newAuthority(t, "other")
+	wrongKey := filepath.Join(folder, "wrong.key")
+	if err := os.WriteFile(wrongKey, []byte("another key that is long enough"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name         string
+		right, wrong func(id string) string
+	}{
+		{"key", func(string) string { return "key_file = peer.key" }, func(string) string { return "key_file = " + wrongKey }},
+		{"certificate",
+			func(id string) string { return own.issue(t, folder, id) },
+			func(id string) string { return other.issue(t, folder, id) },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := startProcesses(t, productSpec(t, baobabemulator.WithMeshCredentials(c.right)))
+			applyExample(t, m, "booking")
+			ctx, nodes := timeout(t), m.Nodes()
+			caller := baobabemulator.NewCaller("authentication")
+			defer caller.Close()
+			serve := func(nodes []*baobabemulator.MeshNode, path string) {
+				t.Helper()
+				for _, n := range nodes {
+					if r := caller.Do(ctx, n.EntryURL(), baobabemulator.CallerRequest{Method: http.MethodGet, Path: path}); !r.Answered() {
+						t.Errorf("a call through %s: status %d, refusal %q, err %v", n.ID(), r.Status, r.Refusal, r.Err)
+					}
+				}
+			}
+			serve(m.NodesOf("deposits"), "/availability")
+			serve(m.NodesOf("availability"), "/deposits")
+
+			stranger := nodes[len(nodes)-1]
+			setCredentials(t, stranger, c.right(stranger.ID()), c.wrong(stranger.ID()))
+			if err := stranger.Node().Restart(); err != nil {
+				t.Fatal(err)
+			}
+			const refused = `baobab_peer_refused_total{reason="proof"}`
+			waitUntil(ctx, t, "three refusals", func() bool {
+				total := 0.0
+				for _, n := range nodes[:len(nodes)-1] {
+					v, _ := metric(t, n, refused)
+					total += v
+				}
+				return total >= 3
+			})
+			for _, n := range nodes[:len(nodes)-1] {
+				v, _ := metric(t, n, refused)
+				if lines := logLines(t, n, "link refused", "proof", "127.0.0.1"); v > 0 && lines > 1 {
+					t.Errorf("%s logged %d lines for %v refusals of links from one host, want 1", n.ID(), lines, v)
+				}
+			}
+			r := send(ctx, t, http.MethodGet, stranger.EntryURL()+"/availability", "", nil)
+			if r.header.Get("Baobab-Outcome") != "not_run" {
+				t.Errorf("a call through the refused node: status %d, outcome %q; want not_run", r.status, r.header.Get("Baobab-Outcome"))
+			}
+			serve(m.NodesOf("deposits")[:1], "/availability")
+			serve(m.NodesOf("availability"), "/deposits")
+		})
+	}
+}
+
+// setCredentials changes the settings of a node.
+func setCredentials(t *testing.T, n *baobabemulator.MeshNode, from, to string) {
+	t.Helper()
+	data, err := os.ReadFile(n.SettingsFile())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(data), from, to, 1)
+	if changed == string(data) {
+		t.Fatalf("the settings of %s have no %q", n.ID(), from)
+	}
+	if err := os.WriteFile(n.SettingsFile(), []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestLifecycle guards against a node that reports to be ready too early, takes operators without the token, or does
+// not end with status 0 after the calls in progress.
+func TestLifecycle(t *testing.T) {
+	m := startProcesses(t, productSpec(t))
+	ctx, n := timeout(t), m.Nodes()[0]
+	base := "http://" + n.OperatorAddress()
+	if r := send(ctx, t, http.MethodGet, base+"/healthz", "", nil); r.status != http.StatusOK {
+		t.Errorf("healthz: status %d, want 200", r.status)
+	}
+	if r := send(ctx, t, http.MethodGet, base+"/readyz", "", nil); r.status != http.StatusServiceUnavailable || r.body == "" {
+		t.Errorf("readyz without a configuration: status %d, body %q; want 503 and why", r.status, r.body)
+	}
+	if r := send(ctx, t, http.MethodGet, n.EntryURL()+"/availability", "", nil); r.header.Get("Baobab-Refusal") != "not_ready" {
+		t.Errorf("call without a configuration: status %d, body %q; want not_ready", r.status, r.body)
+	}
+	applyExample(t, m, "booking")
+	if r := send(ctx, t, http.MethodGet, base+"/readyz", "", nil); r.status != http.StatusOK {
+		t.Errorf("readyz: status %d, body %q, want 200", r.status, r.body)
+	}
+	for cause, header := range map[string]map[string]string{
+		"missing": nil, "wrong": {"Authorization": "Bearer 0123456789abcdef"},
+	} {
+		const attempts = 5
+		for range attempts {
+			if r := send(ctx, t, http.MethodGet, base+"/v1/status", "", header); r.status != http.StatusUnauthorized {
+				t.Errorf("token %s: status %d, want 401", cause, r.status)
+			}
+		}
+		if v, _ := metric(t, n, fmt.Sprintf("baobab_operator_unauthorized_total{cause=%q}", cause)); v != attempts {
+			t.Errorf("token %s: %v counted, want %d", cause, v, attempts)
+		}
+		if lines := logLines(t, n, "operator refused", cause); lines != 1 {
+			t.Errorf("token %s: %d log lines, want 1", cause, lines)
+		}
+	}
+	slow := make(chan response, 1)
+	go func() { slow <- send(ctx, t, http.MethodGet, n.EntryURL()+"/session-records?delay_ms=3000", "", nil) }()
+	waitInFlight(ctx, t, m.NodesOf("session-records"), 1)
+	if err := n.Node().Terminate(ctx); err != nil {
+		t.Errorf("exit after SIGTERM: %v, want status 0", err)
+	}
+	if r := <-slow; r.header.Get("Baobab-Outcome") != "ran" {
+		t.Errorf("call in progress at SIGTERM: status %d, refusal %q; want the answer", r.status, r.header.Get("Baobab-Refusal"))
+	}
+}
+
+// TestWrongSettings guards against settings that start a node with another meaning than the operator's, and against
+// problems that do not say where they are.
+func TestWrongSettings(t *testing.T) {
+	folder := t.TempDir()
+	for name, text := range map[string]string{"peer.key": "0123456789abcdef", "operator.token": "0123456789abcdef"} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const valid = "[node]\nid = n1\nfailure_domain = a\nregion = r\n[listen]\nentry_address = 127.0.0.1:1\npeer_address = 127.0.0.1:2\n" +
+		"operator_address = 127.0.0.1:3\nannounce_address = 127.0.0.1:4\n[platform]\nurl = http://127.0.0.1:5\ntimeout = 2s\n" +
+		"[peers]\nkey_file = peer.key\n[operator]\ntoken_file = operator.token\n"
+	for _, c := range []struct{ name, from, to, want string }{
+		{"unknown key", "region = r\n", "region = r\ncolour = red\n", "[node] colour: unknown key"},
+		{"bad unit", "timeout = 2s", "timeout = 2 parsecs", `[platform] timeout: "2 parsecs" is not a duration such as 250ms`},
+		{"missing field", "region = r\n", "", "[node] region: a value is required"},
+	} {
+		file := filepath.Join(folder, "node.ini")
+		if err := os.WriteFile(file, []byte(strings.Replace(valid, c.from, c.to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for _, args := range [][]string{{"node", "--settings", file}, {"settings", "check", file}} {
+			cmd := exec.CommandContext(timeout(t), binaries.Product(), args...)
+			var out, errs bytes.Buffer
+			cmd.Stdout, cmd.Stderr = &out, &errs
+			_ = cmd.Run()
+			if want := file + ": " + c.want + "\n"; cmd.ProcessState.ExitCode() != 2 || errs.String() != want || out.Len() > 0 {
+				t.Errorf("%s, %s: exit status %d, error output %q, output %q; want 2, %q, none", c.name, args[0],
+					cmd.ProcessState.ExitCode(), errs.String(), out.String(), want)
+			}
+		}
+	}
+}
+
+// TestCallerIsolation guards against an answer that reaches a caller other than the one whose request it answers.
+func TestCallerIsolation(t *testing.T) {
+	m := startProcesses(t, productSpec(t))
+	applyExample(t, m, "booking")
+	ctx, nodes := timeout(t), m.Nodes()
+	type answer struct {
+		Caller string `json:"caller"`
+		CallID string `json:"call_id"`
+		Key    string `json:"key"`
+	}
+	post := func(n *baobabemulator.MeshNode, header map[string]string) answer {
+		t.Helper()
+		header["Idempotency-Key"] = "same-key"
+		r := send(ctx, t, http.MethodPost, n.EntryURL()+"/deposits/payments", "same body", header)
+		var a answer
+		if err := json.Unmarshal([]byte(strings.SplitN(r.body, "\n", 2)[0]), &a); err != nil || r.status != http.StatusOK {
+			t.Errorf("%v: status %d, body %.100q: %v", header, r.status, r.body, err)
+		}
+		return a
+	}
+	callIDs := map[string]string{}
+	for _, c := range []struct {
+		caller string
+		header map[string]string
+	}{
+		{"club-a", map[string]string{"Baobab-Caller": "club-a"}},
+		{"club-b", map[string]string{"Baobab-Caller": "club-b"}},
+		{"club-a/same-key", map[string]string{"Baobab-Caller": "club-a/same-key"}},
+		{"club-c", map[string]string{"Baobab-Caller": "club-c", "Connection": "Baobab-Caller, Idempotency-Key"}},
+		{"club-d", map[string]string{"Baobab-Caller": "club-d", "Baobab_Caller": "club-a", "Baobab-Call-Id": "forged"}},
+		{"127.0.0.1", map[string]string{"Baobab_Caller": "club-a"}},
+	} {
+		for _, n := range nodes {
+			a := post(n, c.header)
+			if a.Caller != c.caller || a.Key != "same-key" {
+				t.Errorf("%s through %s: the answer is for caller %q, key %q", c.caller, n.ID(), a.Caller, a.Key)
+			}
+			if id, ok := callIDs[c.caller]; ok && id != a.CallID {
+				t.Errorf("%s through %s: the key ran twice, as %s and %s", c.caller, n.ID(), id, a.CallID)
+			}
+			callIDs[c.caller] = a.CallID
+		}
+	}
+	// Idempotent calls of equal content are each run.
+	seen := map[string]bool{}
+	for _, caller := range []string{"club-a", "club-a", "club-b"} {
+		r := send(ctx, t, http.MethodGet, nodes[0].EntryURL()+"/availability/lanes", "", map[string]string{"Baobab-Caller": caller})
+		var a answer
+		if err := json.Unmarshal([]byte(strings.SplitN(r.body, "\n", 2)[0]), &a); err != nil || a.Caller != caller || seen[a.CallID] {
+			t.Errorf("%s: answer for %q of call %q, seen before %t: %v", caller, a.Caller, a.CallID, seen[a.CallID], err)
+		}
+		seen[a.CallID] = true
+	}
+	if len(callIDs) != len(distinctValues(callIDs)) {
+		t.Errorf("callers share answers: %v", callIDs)
+	}
+}
+
+func distinctValues(m map[string]string) map[string]bool {
+	values := map[string]bool{}
+	for _, v := range m {
+		values[v] = true
+	}
+	return values
+}
