--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -143,6 +143,10 @@
 	if version == 0 {
 		return "no configuration is in force"
 	}
+	if platformErr == nil {
+		// The version of the head is in force or rejected. A higher number that a peer has heard of does not exist.
+		return ""
+	}
 	highest := s.configuration.board.Highest()
 	if version < highest && s.configuration.rejectedNumber() != highest {
 		return "a newer version is known but not yet fetched"
@@ -172,6 +176,8 @@
 		}
 	}
 	if best.GetNumber() > s.configuration.board.Version().Number() {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
 		if err := s.configuration.fetchFrom(ctx, address, best.GetNumber()); err != nil {
 			s.logger.Debug("version not fetched", "err", err)
 		}
