proof: the delta on another base could be applied without its checks

With the checks of base and digest of a delta removed in a scratch copy, TestInvalidVersionIsRejectedWhole still passed: the delta of that case led to a lower number, so it was refused when it was decoded. It now leads from another content of version n-1 to version n and only adds a route, and the check fails without the two checks.

--- a/baobabproof/invalid_test.go
+++ b/baobabproof/invalid_test.go
@@ -40,7 +40,11 @@
 		{"snapshot that fails validation", true, func(n uint64) {
 			v.putHead(ctx, n, v.changedSnapshot(base, "another-absent-service"), nil)
 		}},
-		{"delta on another base", false, func(n uint64) { v.broadcast(ctx, n, delta(t, configuration.NewSnapshot(n-1, bad.Document()), good)) }},
+		{"delta on another base", false, func(n uint64) {
+			// It only adds a resource, so it could be applied to any base.
+			other := configuration.NewSnapshot(n-1, base.Document())
+			v.broadcast(ctx, n, delta(t, other, configuration.NewSnapshot(n, v.withRoute(base, "deposits", "").Document())))
+		}},
 		{"delta that fails validation", true, func(n uint64) {
 			now := v.current(ctx)
 			v.broadcast(ctx, n, delta(t, now, v.changedSnapshot(now, "absent-service")))
@@ -100,6 +104,12 @@
 
 // changedSnapshot returns the version after base with one route more, to a service, and the first route removed.
 func (v *versions) changedSnapshot(base *configuration.Snapshot, service string) *configuration.Snapshot {
+	v.t.Helper()
+	return v.withRoute(base, service, base.Document().Routes()[0].Name())
+}
+
+// withRoute returns the version after base with one route more, to a service, and without the removed route.
+func (v *versions) withRoute(base *configuration.Snapshot, service, removed string) *configuration.Snapshot {
 	v.t.Helper()
 	text := `{"path_prefix": "/added/` + service + `", "service": "` + service + `", "rank": "normal", "timeout": "1s"}`
 	route, err := configuration.ParseResource(configuration.KindRoute, "added-"+service, []byte(text))
@@ -107,7 +117,6 @@
 		v.t.Fatal(err)
 	}
 	list := []configuration.Resource{route}
-	removed := base.Document().Routes()[0].Name()
 	for _, r := range base.Document().Resources() {
 		if r.Kind() != configuration.KindRoute || r.Name() != removed {
 			list = append(list, r)
