--- a/baobabproof/failures_test.go
+++ b/baobabproof/failures_test.go
@@ -208,6 +208,7 @@
 		during, cancel := context.WithTimeout(ctx, time.Second)
 		version, err := changer.AcceptRoute(during, route, "deposits")
 		cancel()
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond) // How long the failures last is drawn too.
 		list[1].out()
 		list[0].out()
 		if err != nil {
