node: a call's permit is returned at its deadline, whether or not its answer is read

Cause: the permit of a call was returned when its answer had been read or closed. Where the caller is at the upstream's own node and does not read, the write to the caller blocks for the edge's 30 s per piece, so that a few such callers hold all slots of an upstream long after the deadlines of their calls. Seen in baobabproof.TestUnreadAnswers: 8 callers of deposits-1 held permits for 30.8 s, with a timeout of 2 s. Ruled out: calls through another node, whose stream is reset at the deadline. Change: the end of the call's context returns the permit; it also cancels the call at the upstream, as before. Tests: TestUnreadAnswers; TestWholeAnswers (large, streamed, truncated and late answers over failing links); TestKeyedAnswerOutlivesCaller; TestCrashingRequest; TestPlatformDown; TestCallsUnderTwoFailures.

--- a/baobabemulator/meshnode.go
+++ b/baobabemulator/meshnode.go
@@ -1,6 +1,7 @@
 package baobabemulator
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -8,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -79,6 +81,26 @@
 	return postJSON(ctx, n.UpstreamURL()+"/v1/behaviour", fields)
 }
 
+// Metric returns the value of a metric of the node.
+func (n *MeshNode) Metric(ctx context.Context, name string) (float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.OperatorAddress()+"/metrics", nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "read metric")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "read metric")
+	}
+	defer func() { _ = response.Body.Close() }()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if value, ok := strings.CutPrefix(scanner.Text(), name+" "); ok {
+			return strconv.ParseFloat(value, 64)
+		}
+	}
+	return 0, errors.Errorf("read metric: %s does not exist", name)
+}
+
 // Runs returns what the upstream has run, over all its processes.
 func (n *MeshNode) Runs() ([]UpstreamRun, error) {
 	if n.embedded != nil {
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -142,7 +142,7 @@
 	}
 	switch t := u.Client().Do(ctx, a.now(), r.call, r.deadline).(type) {
 	case *upstream.Answered:
-		return a.answered(r, permit, granted, u, t)
+		return a.answered(ctx, r, permit, granted, u, t)
 	case upstream.Refused:
 		permit.Release(a.now(), admission.OutcomeShed)
 		a.release(granted)
@@ -168,8 +168,9 @@
 	}
 }
 
-// answered passes the answer on and, when it has been read, returns the permit and records the answer.
-func (a *Admitter) answered(r *admissionRequest, permit *admission.Permit, granted *claim.Granted, u *blackboard.Upstream, t *upstream.Answered) (*call.Answer, *call.Refusal) {
+// answered passes the answer on and, when it has been read, returns the permit and records the answer. When ctx ends
+// first, the call is cancelled at the upstream and the permit is returned, whether or not anybody reads on.
+func (a *Admitter) answered(ctx context.Context, r *admissionRequest, permit *admission.Permit, granted *claim.Granted, u *blackboard.Upstream, t *upstream.Answered) (*call.Answer, *call.Refusal) {
 	answer := t.Answer()
 	started := permit.Since()
 	outcome := admission.OutcomeSucceeded
@@ -194,6 +195,7 @@
 			a.finish(*granted, answer, body)
 		}
 	}
+	context.AfterFunc(ctx, func() { body.end(false) })
 	return call.NewAnswer(answer.Status(), answer.Header(), body), nil
 }
 
--- a/baobabproof/faults_test.go
+++ b/baobabproof/faults_test.go
@@ -50,6 +50,12 @@
 	f.undo = append(f.undo, func(context.Context) error { f.m.Heal(domain); return nil })
 }
 
+// path injects a failure of the links to a node.
+func (f *faults) path(n *baobabemulator.MeshNode, inject func(*baobabemulator.MeshNode)) {
+	inject(n)
+	f.undo = append(f.undo, func(context.Context) error { n.Proxy().Heal(); return nil })
+}
+
 // platform sets faults of the platform.
 func (f *faults) platform(fields string) {
 	f.t.Helper()
