--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -248,6 +248,7 @@
 		return err
 	}
 	for _, n := range m.nodes {
+		time.Sleep(m.spec.startPause)
 		if err := n.process.Start(); err != nil {
 			return err
 		}
--- a/baobabemulator/meshspec.go
+++ b/baobabemulator/meshspec.go
@@ -45,6 +45,7 @@
 	platformWrites  int
 	platformReads   int
 	staticSeedNodes int
+	startPause      time.Duration // Between the starts of nodes.
 }
 
 // A MeshOption sets an optional property of a MeshSpec.
@@ -74,6 +75,10 @@
 	return func(s *MeshSpec) { s.platformWrites, s.platformReads = writes, reads }
 }
 
+// WithMeshStartPause sets the time between the starts of nodes. Hundreds of processes that start at once on one machine
+// keep each other from answering probes.
+func WithMeshStartPause(d time.Duration) MeshOption { return func(s *MeshSpec) { s.startPause = d } }
+
 // WithMeshStaticSeeds gives each node the addresses of the first n nodes in its settings.
 func WithMeshStaticSeeds(n int) MeshOption { return func(s *MeshSpec) { s.staticSeedNodes = n } }
 
