--- a/baobabemulator/caller.go
+++ b/baobabemulator/caller.go
@@ -31,6 +31,7 @@
 	Timeout time.Duration     // Zero: the route's timeout.
 	Content string            // Empty: unique per request. Equal content makes requests equal for the upstream.
 	Header  map[string]string // Further header fields.
+	Padding int               // Bytes of the body after the content, for a request with a body.
 }
 
 // A CallerRecord is what a caller saw of one request.
@@ -43,6 +44,7 @@
 	Status  int       // Zero without an answer.
 	Outcome string    // ran, not_run, unknown, or empty without an answer.
 	Refusal string    // Reason, or empty.
+	Wait    string    // The Retry-After field, or empty.
 	Answer  UpstreamAnswer
 	Fault   string // Why the answer is not the whole answer to this request; empty if it is.
 	Err     error  // Why no whole answer arrived.
@@ -54,6 +56,12 @@
 // Answered reports whether the whole answer of an upstream arrived.
 func (r CallerRecord) Answered() bool { return r.Err == nil && r.Outcome == "ran" && r.Refusal == "" }
 
+// NotConnected reports whether no connection could be opened, so that the request surely did not reach the mesh.
+func (r CallerRecord) NotConnected() bool {
+	var failure *net.OpError
+	return errors.As(r.Err, &failure) && failure.Op == "dial"
+}
+
 // Idempotent reports whether the method may run more than once.
 func (r CallerRecord) Idempotent() bool {
 	return r.Request.Method == http.MethodGet || r.Request.Method == http.MethodHead
@@ -90,11 +98,32 @@
 	return append([]CallerRecord(nil), c.records...)
 }
 
+// Resend sends a request to the base URLs in turn, with the same content each time, until the answer of an upstream
+// arrives or ctx ends. Between two sends it waits for pause. It returns what the last send gave.
+func (c *Caller) Resend(ctx context.Context, bases []string, r CallerRequest, pause time.Duration) CallerRecord {
+	if r.Content == "" {
+		r.Content = c.content()
+	}
+	for i := 0; ; i++ {
+		record := c.Do(ctx, bases[i%len(bases)], r)
+		if record.Answered() {
+			return record
+		}
+		select {
+		case <-ctx.Done():
+			return record
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (c *Caller) content() string { return fmt.Sprintf("%s-%d", c.prefix, c.serial.Add(1)) }
+
 // Do sends a request to a base URL once and records what comes back.
 func (c *Caller) Do(ctx context.Context, base string, r CallerRequest) CallerRecord {
 	record := CallerRecord{Request: r, Content: r.Content, Start: time.Now()}
 	if record.Content == "" {
-		record.Content = fmt.Sprintf("%s-%d", c.prefix, c.serial.Add(1))
+		record.Content = c.content()
 	}
 	c.send(ctx, base, &record)
 	record.End = time.Now()
@@ -120,6 +149,7 @@
 	record.CallID = response.Header.Get("Baobab-Call-Id")
 	record.Outcome = response.Header.Get("Baobab-Outcome")
 	record.Refusal = response.Header.Get("Baobab-Refusal")
+	record.Wait = response.Header.Get("Retry-After")
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		record.Err = errors.Wrap(err, "read answer")
@@ -132,10 +162,7 @@
 
 func (c *Caller) request(ctx context.Context, base string, record *CallerRecord) (*http.Request, error) {
 	r := record.Request
-	body := ""
-	if !record.Idempotent() {
-		body = record.Content
-	}
+	body := record.body()
 	request, err := http.NewRequestWithContext(ctx, r.Method, base+record.target(), strings.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
@@ -153,11 +180,19 @@
 	for name, value := range r.Header {
 		request.Header.Set(name, value)
 	}
-	// Without GetBody the transport cannot send the request again by itself.
+	// Without GetBody, and with a body other than http.NoBody, the transport cannot send the request again by itself.
 	request.GetBody = nil
+	request.Body = io.NopCloser(strings.NewReader(body))
 	return request, nil
 }
 
+func (r *CallerRecord) body() string {
+	if r.Idempotent() {
+		return ""
+	}
+	return r.Content + strings.Repeat("x", r.Request.Padding)
+}
+
 // target returns the path with a query that names the content.
 func (r *CallerRecord) target() string {
 	query := "content=" + r.Content
@@ -181,5 +216,9 @@
 	}
 	if r.Answer.Target != r.target() {
 		r.Fault = fmt.Sprintf("answer is for %s, want %s", r.Answer.Target, r.target())
+		return
+	}
+	if sent := sha256.Sum256([]byte(r.body())); r.Answer.BodyDigest != hex.EncodeToString(sent[:]) {
+		r.Fault = "the upstream got another body than was sent"
 	}
 }
--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -17,6 +17,8 @@
 
 	"github.com/baobabdale/baobabdale/baobabfault"
 	"github.com/baobabdale/baobabdale/baobaboperator"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
 )
 
 const (
@@ -169,7 +171,7 @@
 		if p, ok := m.proxies[n.domain]; ok {
 			url = "http://" + p.Address()
 		}
-		if err := n.writeSettings(m.folder, url, seeds, m.spec.nodeSettings); err != nil {
+		if err := n.writeSettings(m.folder, url, seeds, m.spec.credentials(n.id), m.spec.nodeSettings); err != nil {
 			return err
 		}
 		n.process = NewProcess(n.id, filepath.Join(m.folder, n.id+".log"), m.binaries.product, "node", "--settings", n.settings)
@@ -301,6 +303,18 @@
 	return baobaboperator.NewClient(addresses, meshToken)
 }
 
+// PeerTransport returns a transport that the nodes take for that of a node. The caller must close it.
+func (m *Mesh) PeerTransport() (*peer.Transport, error) {
+	key, err := peer.NewSharedKey([]byte(meshKey))
+	if err != nil {
+		return nil, errors.Wrap(err, "peer transport")
+	}
+	return peer.NewTransport(key), nil
+}
+
+// PlatformStore returns a client of the platform, not through a proxy. The caller must close it.
+func (m *Mesh) PlatformStore() (*platform.Client, error) { return platform.NewClient(m.PlatformURL()) }
+
 // WaitReady waits until each of the nodes, or all, report that they are ready.
 func (m *Mesh) WaitReady(ctx context.Context, nodes ...*MeshNode) error {
 	if len(nodes) == 0 {
@@ -389,6 +403,43 @@
 	return all, nil
 }
 
+// WaitRun waits until an upstream has started a request with the given content, and returns its node.
+func (m *Mesh) WaitRun(ctx context.Context, content string) (*MeshNode, error) {
+	var found *MeshNode
+	err := waitFor(ctx, "run of "+content, func() bool {
+		for _, n := range m.nodes {
+			runs, err := n.Runs()
+			if err != nil {
+				return false
+			}
+			for _, r := range runs {
+				if contentOf(r.Path) == content {
+					found = n
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found, err
+}
+
+// EntryURLs returns the base URLs for callers of some nodes.
+func EntryURLs(nodes ...*MeshNode) []string {
+	urls := make([]string, len(nodes))
+	for i, n := range nodes {
+		urls[i] = n.EntryURL()
+	}
+	return urls
+}
+
+// Domain returns the failure domain of the node as Mesh.Cut and Mesh.Heal count it.
+func (n *MeshNode) Domain() int {
+	var d int
+	_, _ = fmt.Sscanf(n.domain, "fd%d", &d)
+	return d
+}
+
 // Close kills all processes.
 func (m *Mesh) Close() {
 	var wg sync.WaitGroup
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -23,8 +24,13 @@
 	claimTimeout = time.Second
 	// releaseTimeout bounds how long a refusal waits for its claim to be released.
 	releaseTimeout = 500 * time.Millisecond
-	// finishTimeout bounds the recording of an answer, which runs after the answer was sent.
-	finishTimeout = 30 * time.Second
+	// finishTimeout bounds the recording of an answer, which runs after the answer was sent. It outlasts a long outage
+	// of the platform, because until the answer is recorded a caller that sends the request again is told unknown. No
+	// new claims are granted during an outage, so few answers wait.
+	finishTimeout = time.Hour
+	// finishPause and finishPauseMost bound the pause between two tries to record an answer.
+	finishPause     = 100 * time.Millisecond
+	finishPauseMost = 2 * time.Second
 )
 
 // An admission request is a call as the admitting node sees it.
@@ -68,9 +74,6 @@
 	return a.admitKeyed(ctx, now, r)
 }
 
-// Wait waits for answers that are being recorded.
-func (a *Admitter) Wait() { a.finishing.Wait() }
-
 // check refuses what cannot be run here, before anything is written or queued.
 func (a *Admitter) check(now time.Time, r *admissionRequest) *call.Refusal {
 	if !now.Before(r.deadline) {
@@ -151,7 +154,7 @@
 		return nil, call.NewRefusal(call.ReasonUpstreamUnavailable, call.OutcomeNotRun, "the upstream could not be reached")
 	case upstream.Died:
 		permit.Release(a.now(), admission.OutcomeFailed)
-		a.died(r, u, t.Reused())
+		a.died(r, u)
 		return nil, call.NewRefusal(call.ReasonUpstreamFailed, call.OutcomeUnknown, "the connection to the upstream failed while it ran the call")
 	case upstream.Cancelled:
 		permit.Release(a.now(), admission.OutcomeCancelled)
@@ -168,6 +171,7 @@
 // answered passes the answer on and, when it has been read, returns the permit and records the answer.
 func (a *Admitter) answered(r *admissionRequest, permit *admission.Permit, granted *claim.Granted, u *blackboard.Upstream, t *upstream.Answered) (*call.Answer, *call.Refusal) {
 	answer := t.Answer()
+	started := permit.Since()
 	outcome := admission.OutcomeSucceeded
 	if answer.Status() >= http.StatusInternalServerError {
 		outcome = admission.OutcomeFailed
@@ -180,9 +184,13 @@
 		}
 		permit.Release(a.now(), outcome)
 		if err := t.Failure(); err != nil && !ended(err) {
-			a.died(r, u, false)
+			a.died(r, u)
+		}
+		if !complete {
+			return
 		}
-		if granted != nil && complete {
+		a.quarantine.succeeded(a.now(), r, started)
+		if granted != nil {
 			a.finish(*granted, answer, body)
 		}
 	}
@@ -198,12 +206,26 @@
 	a.finishing.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
-		if err := a.ledger.Finish(ctx, a.now(), granted, record); err != nil {
+		if err := a.record(ctx, granted, record); err != nil {
 			a.logger.Warn("answer not recorded", "err", err)
 		}
 	})
 }
 
+// record writes the record of an answer, again and again while the platform does not confirm it.
+func (a *Admitter) record(ctx context.Context, granted claim.Granted, record claim.Record) error {
+	for pause := finishPause; ; pause = min(2*pause, finishPauseMost) {
+		err := a.ledger.Finish(ctx, a.now(), granted, record)
+		failure, ok := errors.AsType[*claim.Error](err)
+		if !ok || failure.Kind() != claim.KindUnavailable {
+			return err
+		}
+		if !sleep(ctx, pause) {
+			return err
+		}
+	}
+}
+
 // release gives a claim back when its call surely did not run.
 func (a *Admitter) release(granted *claim.Granted) {
 	if granted == nil {
@@ -225,11 +247,11 @@
 	return call.NewRefusal(reason, call.OutcomeNotRun, detail)
 }
 
-// died reports a possible crash of the upstream. A connection that had served calls before may have been closed
-// as idle, which says nothing about the request.
-func (a *Admitter) died(r *admissionRequest, u *blackboard.Upstream, reused bool) {
+// died reports a possible crash of the upstream. A connection that had served calls before may have been closed as
+// idle, but a crash cannot be told from that, and a request that did not cause it is cleared by its next run.
+func (a *Admitter) died(r *admissionRequest, u *blackboard.Upstream) {
 	u.Evidence().Live(a.now(), false)
-	a.quarantine.suspect(a.now(), r, u, reused)
+	a.quarantine.crashed(a.now(), r, u)
 }
 
 // replay answers with the record of an earlier call under the same key.
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -65,15 +65,10 @@
 // Serve implements caller.Server.
 func (g *Ingress) Serve(ctx context.Context, now time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
 	r, refusal := g.route(now, c)
-	if refusal == nil {
-		var answer *call.Answer
-		answer, refusal = g.serve(ctx, r)
-		if refusal == nil {
-			return answer, nil
-		}
+	if refusal != nil {
+		return nil, refusal
 	}
-	g.counters.refused(refusal.Reason())
-	return nil, refusal
+	return g.serve(ctx, r)
 }
 
 // route finds the route of a call and the limits that it sets.
@@ -127,14 +122,14 @@
 		if end.answer != nil {
 			return end.answer, nil
 		}
-		last = end.refusal
+		last = weightier(last, end.refusal)
 		attempt := route.NewAttempt(number, r.maxAttempts, r.request.deadline, end.ending,
 			route.WithIdempotent(r.request.idempotent), route.WithRetriedEarlier(r.request.call.Retried()))
 		switch d := route.DecideRetry(g.now(), attempt, r.budget).(type) {
 		case route.Retry:
-			g.counters.retried(string(d.Reason()))
+			g.counters.retried(d.Reason())
 		case route.Stop:
-			g.counters.retried("stopped_" + string(d.Reason()))
+			g.counters.stopped(d.Reason())
 			return nil, last
 		}
 		if ctx.Err() != nil {
@@ -242,6 +237,15 @@
 	return wanted.Name()
 }
 
+// weightier returns the refusal that is true for both attempts: an earlier attempt that may have run outweighs a later
+// one that did not.
+func weightier(earlier, later *call.Refusal) *call.Refusal {
+	if earlier != nil && earlier.Outcome() != call.OutcomeNotRun && later.Outcome() == call.OutcomeNotRun {
+		return earlier
+	}
+	return later
+}
+
 // endingOf says what a refusal means for a retry.
 func endingOf(r *call.Refusal) route.Ending {
 	if r.Outcome() != call.OutcomeUnknown {
@@ -256,6 +260,11 @@
 // verdictOf says what the end of an attempt without an answer tells about the endpoint.
 func verdictOf(ctx context.Context, end attemptEnd) route.Verdict {
 	switch end.ending.(type) {
+	case route.NotSent:
+		if ctx.Err() != nil {
+			return route.VerdictAbandoned
+		}
+		return route.VerdictUnreachable
 	case route.Refused:
 		if end.refusal.Reason() == call.ReasonUpstreamUnavailable {
 			return route.VerdictFailure
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,12 +14,16 @@
 )
 
 const (
-	// joinAttempts is how many addresses a starting node tries at the same time.
+	// joinAttempts is how many addresses a starting node tries at the same time. While none answers, it tries twice
+	// as many of the others, because after a mass failure most seed rows name nodes that are gone.
 	joinAttempts = 3
 	// joinTimeout bounds one join.
-	joinTimeout = 2 * time.Second
-	// startPause is the pause between two rounds of starting, with jitter.
-	startPause = 200 * time.Millisecond
+	joinTimeout = time.Second
+	// startPause is the pause after the first round of starting. It doubles up to startPauseMax, so that thousands of
+	// nodes that wait for the platform or for a first configuration do not overload the platform. A round follows at
+	// once when a version comes into force.
+	startPause    = 200 * time.Millisecond
+	startPauseMax = 10 * time.Second
 	// startJitter spreads nodes that start in the same moment.
 	startJitter = 200 * time.Millisecond
 	// withoutPlatform is how long a node waits for the platform before it trusts its peers alone.
@@ -52,24 +57,38 @@
 	return s.ready, s.reason
 }
 
-// run joins and waits until the node may serve.
+// run joins and waits until the node may serve. A node that serves without having found another one goes on looking.
 func (s *starter) run(ctx context.Context) error {
 	if !sleep(ctx, rand.N(startJitter)) {
 		return nil
 	}
 	begin := s.now()
-	joined := false
-	for ctx.Err() == nil {
-		joined = s.join(ctx) || joined
-		reason := s.confirm(ctx, s.now().Sub(begin))
-		s.set(reason)
-		if reason == "" {
-			s.logger.Info("ready", "after", s.now().Sub(begin), "joined", joined)
-			return nil
+	joined, ready := false, false
+	for pause := startPause; ctx.Err() == nil; pause = min(2*pause, startPauseMax) {
+		changed := s.configuration.board.InForceChanged()
+		joined = joined || s.join(ctx)
+		if !ready {
+			reason := s.confirm(ctx, s.now().Sub(begin))
+			s.set(reason)
+			if ready = reason == ""; ready {
+				s.logger.Info("ready", "after", s.now().Sub(begin), "joined", joined)
+			}
 		}
-		if !sleep(ctx, startPause+rand.N(startPause)) {
+		if ready && joined {
 			return nil
 		}
+		if ready {
+			changed = nil
+		}
+		wait := pause + rand.N(pause)
+		if left := withoutPlatform - s.now().Sub(begin); left > 0 {
+			wait = min(wait, left+rand.N(startPause))
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(wait):
+		}
 	}
 	return nil
 }
@@ -81,52 +100,54 @@
 	}
 	addresses := s.seeds.addresses(ctx)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(joinAttempts, len(addresses))]
-	answered := make([]bool, len(addresses))
+	for count := joinAttempts; len(addresses) > 0; count *= 2 {
+		count = min(count, len(addresses))
+		if s.joinAny(ctx, addresses[:count]) {
+			s.membership.announceSelf(func(*membership.Member) {})
+			return true
+		}
+		addresses = addresses[count:]
+	}
+	return false
+}
+
+// joinAny joins through all of the addresses at the same time. It reports whether one answered.
+func (s *starter) joinAny(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var answered atomic.Bool
 	var wg sync.WaitGroup
-	for i, address := range addresses {
+	for _, address := range addresses {
 		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-			defer cancel()
 			reply, err := s.membership.join(ctx, address)
 			if err != nil {
 				s.logger.Debug("join failed", "address", address, "err", err)
 				return
 			}
 			s.configuration.board.RaiseHighest(reply.GetHighestSeen())
-			answered[i] = true
+			answered.Store(true)
 		})
 	}
 	wg.Wait()
-	for _, ok := range answered {
-		if ok {
-			s.membership.announceSelf(func(*membership.Member) {})
-			return true
-		}
-	}
-	return false
+	return answered.Load()
 }
 
 // confirm returns why the node may not serve yet, or an empty text. The platform and a peer must have answered; the
 // platform is enough where no peer is known, and peers are enough when the platform has been away for a while.
 func (s *starter) confirm(ctx context.Context, waited time.Duration) string {
-	_, platformErr := s.configuration.loadHead(ctx, false)
+	head, platformErr := s.configuration.loadHead(ctx, false)
 	asked, answered := s.askPeers(ctx)
-	if platformErr != nil && (answered == 0 || waited < withoutPlatform) {
-		return "the platform has not confirmed the version: " + platformErr.Error()
-	}
 	if platformErr == nil && asked > 0 && answered == 0 && waited < withoutPlatform {
 		return "no peer has confirmed the version"
 	}
-	version := s.configuration.board.Version().Number()
-	if version == 0 {
-		return "no configuration is in force"
-	}
-	highest := s.configuration.board.Highest()
-	if version < highest && s.configuration.rejectedNumber() != highest {
-		return "a newer version is known but not yet fetched"
+	if platformErr == nil && s.configuration.board.Version().Number() > 0 {
+		// The read may have been stale, and the peers may lag behind the version of this node's last run.
+		platformErr = s.configuration.confirmHead(ctx, head)
 	}
-	return ""
+	return confirmation{
+		platformErr: platformErr, answered: answered, waited: waited, version: s.configuration.board.Version().Number(),
+		highest: s.configuration.board.Highest(), rejected: s.configuration.rejectedNumber(),
+	}.missing()
 }
 
 // askPeers asks members for the highest version that they have heard of, and fetches it.
@@ -151,6 +172,8 @@
 		}
 	}
 	if best.GetNumber() > s.configuration.board.Version().Number() {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
 		if err := s.configuration.fetchFrom(ctx, address, best.GetNumber()); err != nil {
 			s.logger.Debug("version not fetched", "err", err)
 		}
--- a/baobabnode/statuscontroller.go
+++ b/baobabnode/statuscontroller.go
@@ -33,6 +33,7 @@
 	members   *members
 	admitter  *Admitter
 	counters  *counters
+	refusals  func() map[string]uint64 // What callers of this node were refused, by reason.
 	transport *peer.Transport
 	now       func() time.Time
 }
@@ -48,8 +49,8 @@
 		Version:       toWireVersion(c.board.Version()),
 		Endpoint:      self.Wire(now).GetEndpoint(),
 		Load:          toWireLoad(c.admitter.Load(now)),
-		Refusals:      c.counters.refusalCounts(),
-		Retries:       c.counters.retryCounts(),
+		Refusals:      c.refusals(),
+		Retries:       c.counters.counts(),
 	}
 	if f := c.board.InForce(); f != nil {
 		s.InForceMs = now.Sub(f.Since()).Milliseconds()
@@ -70,7 +71,7 @@
 	return &wire.StatusReply{Nodes: c.domain(ctx, m.GetFailureDomain())}
 }
 
-// gather returns the status of all members.
+// gather returns the status of all members. Those that are dead or have left are not asked.
 func (c *statusController) gather(ctx context.Context) []*wire.NodeStatus {
 	own := c.members.selfRecord().FailureDomain()
 	var (
@@ -92,6 +93,11 @@
 		})
 	}
 	wg.Wait()
+	for _, m := range c.members.records(nil) {
+		if !m.State().Live() {
+			list = append(list, unreachableStatus(m, ""))
+		}
+	}
 	return list
 }
 
