bench: mass restart and loss experiments

Cause: the return of many nodes at once and what callers get under losses were only seen in tests. Change: herd measures the time until nodes that were killed and started together serve, and the platform's reads and writes in the worst second, with the platform up and down. loss sends calls at a steady rate while VMs, a failure domain and the platform are lost, counts outcomes, and compares histories.

--- a/baobabbench/main.go
+++ b/baobabbench/main.go
@@ -29,7 +29,9 @@
 	Control     *controlCmd     `arg:"subcommand:control" help:"cost of the control plane by number of nodes"`
 	Convergence *convergenceCmd `arg:"subcommand:convergence" help:"time from accept to in force at every node"`
 	Flood       *floodCmd       `arg:"subcommand:flood" help:"service by rank and caller while one rank arrives far beyond capacity"`
+	Herd        *herdCmd        `arg:"subcommand:herd" help:"nodes killed and started in the same moment"`
 	Latency     *latencyCmd     `arg:"subcommand:latency" help:"latency that the mesh adds to a call, and its processor time"`
+	Loss        *lossCmd        `arg:"subcommand:loss" help:"what callers get while VMs, a failure domain or the platform are lost"`
 }
 
 // Description implements arg.Described.
