--- a/baobabproof/load_test.go
+++ b/baobabproof/load_test.go
@@ -172,7 +172,11 @@
 	defer caller.Close()
 	load := baobabemulator.StartLoad(ctx, 8, 5*time.Millisecond, func(ctx context.Context, serial int64) {
 		r := steadyRequest("deposits", serial)
-		r.Timeout = time.Second
+		if serial%2 == 0 {
+			r = steadyRequest("deposits", 2) // Half of the requests have a key.
+			r.Key = fmt.Sprint("two-", serial)
+		}
+		r.Timeout = 500 * time.Millisecond
 		short, cancel := context.WithTimeout(ctx, 2*time.Second)
 		defer cancel()
 		if r.Key == "" {
--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -17,6 +17,9 @@
 // testTimeout bounds each wait of a test. It is far above what a wait takes on a busy machine.
 const testTimeout = 60 * time.Second
 
+// meshSlots bounds the meshes that run at the same time; each has 26 processes or so.
+var meshSlots = make(chan struct{}, 4)
+
 var (
 	binaries baobabemulator.Binaries
 	seedFlag = flag.Uint64("seed", 0, "seed of the random choices; 0 takes a new one")
@@ -59,6 +62,8 @@
 // startMesh starts a mesh with an example configuration in force everywhere. Its logs are printed when the test fails.
 func startMesh(t *testing.T, deployment string, options ...baobabemulator.MeshOption) *baobabemulator.Mesh {
 	t.Helper()
+	meshSlots <- struct{}{}
+	t.Cleanup(func() { <-meshSlots })
 	spec, err := baobabemulator.DeploymentSpec(deployment, append([]baobabemulator.MeshOption{
 		baobabemulator.WithMeshProxies(), baobabemulator.WithMeshSeed(newSeed(t)),
 	}, options...)...)
--- a/baobabproof/refusal_test.go
+++ b/baobabproof/refusal_test.go
@@ -42,7 +42,7 @@
 	}
 	slow := with(get, func(r *baobabemulator.CallerRequest) { r.Query = "delay_ms=300" })
 	// The wait that this rank allows is long enough for a queue to reach its limit.
-	deferrable := with(get, func(r *baobabemulator.CallerRequest) { r.Path = "/session-records" })
+	deferrable := with(get, func(r *baobabemulator.CallerRequest) { r.Path, r.Query = "/session-records", "delay_ms=100" })
 	// busy keeps all deposits upstreams busy and sends further requests.
 	busy := func(n int, further baobabemulator.CallerRequest) func(context.Context, *faults) {
 		return func(ctx context.Context, _ *faults) {
@@ -123,10 +123,10 @@
 		}},
 		{"deadline_passed", 504, "", false, do(with(slow, func(r *baobabemulator.CallerRequest) { r.Timeout = 100 * time.Millisecond }))},
 		{"deadline_unmeetable", 504, "not_run", true, busy(150, with(get, func(r *baobabemulator.CallerRequest) { r.Timeout = 30 * time.Millisecond }))},
-		{"queue_full", 429, "not_run", true, func(ctx context.Context, _ *faults) { caller.Burst(ctx, 600, entry.EntryURL(), deferrable) }},
+		{"queue_full", 429, "not_run", true, func(ctx context.Context, _ *faults) { caller.Burst(ctx, 1000, entry.EntryURL(), deferrable) }},
 		{"caller_share", 429, "not_run", true, func(ctx context.Context, _ *faults) {
 			var all sync.WaitGroup
-			for name, n := range map[string]int{"greedy": 600, "modest": 100} {
+			for name, n := range map[string]int{"greedy": 800, "modest": 200} {
 				r := with(deferrable, func(r *baobabemulator.CallerRequest) { r.Caller = name })
 				all.Go(func() { caller.Burst(ctx, n, entry.EntryURL(), r) })
 			}
