proof: the foreign certificate of the authentication test trusts the mesh

Cause: with client certificates no longer required in a scratch copy, TestPeerAuthentication still passed, because the stranger itself refused the other nodes' certificates.

Change: the stranger trusts the mesh's authority, so that only the other nodes can refuse the link. With client certificates not required the test now fails: 'a call through the refused node: status 200, outcome "ran"'.

--- a/baobabproof/certificates_test.go
+++ b/baobabproof/certificates_test.go
@@ -61,8 +61,8 @@
 	return key, der
 }
 
-// issue writes the certificate files of a node and returns the settings that name them.
-func (a *authority) issue(t *testing.T, folder, id string) string {
+// issue writes the certificate files of a node that trusts an authority, and returns the settings that name them.
+func (a *authority) issue(t *testing.T, folder, id string, trusted *authority) string {
 	t.Helper()
 	template := certificateTemplate(id)
 	template.DNSNames = []string{"baobabdale"}
@@ -74,7 +74,7 @@
 	}
 	base := filepath.Join(folder, a.name+"-"+id)
 	for suffix, block := range map[string]*pem.Block{
-		".ca": {Type: "CERTIFICATE", Bytes: a.certificate.Raw}, ".crt": {Type: "CERTIFICATE", Bytes: der},
+		".ca": {Type: "CERTIFICATE", Bytes: trusted.certificate.Raw}, ".crt": {Type: "CERTIFICATE", Bytes: der},
 		".key": {Type: "EC PRIVATE KEY", Bytes: keyDER},
 	} {
 		if err := os.WriteFile(base+suffix, pem.EncodeToMemory(block), 0o600); err != nil {
--- a/baobabproof/product_test.go
+++ b/baobabproof/product_test.go
@@ -342,8 +342,9 @@
 	}{
 		{"key", func(string) string { return "key_file = peer.key" }, func(string) string { return "key_file = " + wrongKey }},
 		{"certificate",
-			func(id string) string { return own.issue(t, folder, id) },
-			func(id string) string { return other.issue(t, folder, id) },
+			func(id string) string { return own.issue(t, folder, id, own) },
+			// It trusts the other nodes, so that only they can refuse the link.
+			func(id string) string { return other.issue(t, folder, id, own) },
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
