node: a stopping node is not ready; only wrong keys are logged as refused links

Cause: 0.3 s after SIGTERM /readyz still answered 200, so a load balancer goes on sending callers to a node that is about to close its listeners. Links that other nodes reset while they restart were logged as refused.

--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,7 @@
 	peers         *peerHandler
 	entry         *caller.Edge
 	refusals      *refusalLog
+	stopping      atomic.Bool
 	operators     http.Handler
 }
 
@@ -190,7 +192,7 @@
 	status.refusals = handler.Refusals
 	n.entry = caller.NewEdge(handler, caller.WithGrace(s.Shutdown().GracePeriod()))
 	service := &operatorService{book: n.configuration.book, configuration: n.configuration, status: status}
-	n.operators = operator.NewServer(service, n.starter, s.Operator().Token(), operator.WithMetrics(n.metrics),
+	n.operators = operator.NewServer(service, n, s.Operator().Token(), operator.WithMetrics(n.metrics),
 		operator.WithUnauthorized(n.refusals.operator))
 }
 
@@ -251,6 +253,7 @@
 // stop ends the node as planned: other nodes stop sending work, waiting work is refused as not run, and calls in
 // progress end.
 func (n *Node) stop() {
+	n.stopping.Store(true)
 	n.logger.Info("stopping", "drain_timeout", n.settings.Shutdown().DrainTimeout())
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown().DrainTimeout())
 	defer cancel()
--- a/baobabnode/refusallog.go
+++ b/baobabnode/refusallog.go
@@ -29,10 +29,10 @@
 	return &refusalLog{now: now, logger: logger, logged: map[string]time.Time{}}
 }
 
-// link logs the refusal of a link between nodes.
-func (l *refusalLog) link(reason, address string, err error) {
-	if l.due(l.now(), "link "+reason, address) {
-		l.logger.Warn("link refused", "reason", reason, "address", address, "err", err)
+// link logs the refusal of a link between nodes because of its key or certificate.
+func (l *refusalLog) link(address string, err error) {
+	if l.due(l.now(), "link", address) {
+		l.logger.Warn("link refused", "address", address, "err", err)
 	}
 }
 
--- a/baobabpeer/options.go
+++ b/baobabpeer/options.go
@@ -39,7 +39,7 @@
 	dial           func(ctx context.Context, address string) (net.Conn, error)
 	sameDomain     func(address string) bool
 	set            *metrics.Set
-	refused        func(reason, address string, err error)
+	refused        func(address string, err error)
 }
 
 func newOptions(list []Option) options {
@@ -59,7 +59,7 @@
 		},
 		sameDomain: func(string) bool { return true },
 		set:        metrics.NewSet(),
-		refused:    func(string, string, error) {},
+		refused:    func(string, error) {},
 	}
 	for _, f := range list {
 		f(&o)
@@ -110,8 +110,8 @@
 // WithMetrics sets the set that receives the counters.
 func WithMetrics(set *metrics.Set) Option { return func(o *options) { o.set = set } }
 
-// WithRefused sets a function that is called when the authentication of a link fails, with the reason under which
-// it is counted and the address of the other side.
-func WithRefused(refused func(reason, address string, err error)) Option {
+// WithRefused sets a function that is called when the key or the certificate of the other side is wrong, with its
+// address. Connections that end before they are authenticated are only counted.
+func WithRefused(refused func(address string, err error)) Option {
 	return func(o *options) { o.refused = refused }
 }
--- a/baobabpeer/transport.go
+++ b/baobabpeer/transport.go
@@ -185,14 +185,14 @@
 	return newLink(t, address, t.bytesOf(address), secure, false)
 }
 
-// refuseHandshake counts and reports a link that could not be authenticated.
+// refuseHandshake counts a link that could not be authenticated, and reports a wrong proof.
 func (t *Transport) refuseHandshake(address string, err error) {
-	reason := refusedHandshake
-	if errors.Is(err, errWrongProof) {
-		reason = refusedProof
+	if !errors.Is(err, errWrongProof) {
+		t.counters.refused(refusedHandshake)
+		return
 	}
-	t.counters.refused(reason)
-	t.options.refused(reason, address, err)
+	t.counters.refused(refusedProof)
+	t.options.refused(address, err)
 }
 
 func (t *Transport) bytesOf(address string) *byteCounters {
