--- a/baobabmesh/democmd.go
+++ b/baobabmesh/democmd.go
@@ -70,10 +70,12 @@
 	fmt.Println("building")
 	binaries, err := baobabemulator.BuildBinaries(folder)
 	if err != nil {
+		_ = os.RemoveAll(folder)
 		return nil, nil, err
 	}
 	m, err := baobabemulator.NewMesh(spec, folder, binaries)
 	if err != nil {
+		_ = os.RemoveAll(folder)
 		return nil, nil, err
 	}
 	cleanUp := func() {
