--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -23,7 +23,7 @@
 	// nodes that wait for the platform or for a first configuration do not overload the platform. A round follows at
 	// once when a version comes into force.
 	startPause    = 200 * time.Millisecond
-	startPauseMax = 10 * time.Second
+	startPauseMax = 2 * time.Second
 	// startJitter spreads nodes that start in the same moment.
 	startJitter = 200 * time.Millisecond
 	// withoutPlatform is how long a node waits for the platform before it trusts its peers alone.
