settings: links without streams are closed after 20 s

Cause: each exchange with a random member left a link with keepalives for 5 minutes; in the control experiment links grew with fleet size and time. At full size a node would keep links to nearly all members of its failure domain. Change: the default of idle_timeout is 20 s instead of 5 min.

--- a/baobabsettings/peers.go
+++ b/baobabsettings/peers.go
@@ -21,7 +21,7 @@
 func readPeers(r *reader) Peers {
 	p := Peers{
 		seeds:       r.addresses("peers", "seeds"),
-		idleTimeout: r.duration("peers", "idle_timeout", 5*time.Minute, time.Second, 24*time.Hour),
+		idleTimeout: r.duration("peers", "idle_timeout", 20*time.Second, time.Second, 24*time.Hour),
 		maxLinks:    r.integer("peers", "max_links", 1024, 1, 1<<16),
 	}
 	p.readCredentials(r)
