--- a/baobabemulator/caller.go
+++ b/baobabemulator/caller.go
@@ -98,14 +98,18 @@
 	return append([]CallerRecord(nil), c.records...)
 }
 
+// resendTimeout bounds one send of Resend; it is longer than the timeouts of the example routes for keyed requests.
+const resendTimeout = 15 * time.Second
+
 // Resend sends a request to the base URLs in turn, with the same content each time, until the answer of an upstream
-// arrives or ctx ends. Between two sends it waits for pause. It returns what the last send gave.
+// arrives or ctx ends. Between two sends it waits for pause. It returns what the last send gave. The end of ctx does not
+// interrupt a send, because a request that its caller gives up tells nothing about the system.
 func (c *Caller) Resend(ctx context.Context, bases []string, r CallerRequest, pause time.Duration) CallerRecord {
 	if r.Content == "" {
 		r.Content = c.content()
 	}
 	for i := 0; ; i++ {
-		record := c.Do(ctx, bases[i%len(bases)], r)
+		record := c.sendWhole(ctx, bases[i%len(bases)], r)
 		if record.Answered() {
 			return record
 		}
@@ -117,6 +121,12 @@
 	}
 }
 
+func (c *Caller) sendWhole(ctx context.Context, base string, r CallerRequest) CallerRecord {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resendTimeout)
+	defer cancel()
+	return c.Do(ctx, base, r)
+}
+
 func (c *Caller) content() string { return fmt.Sprintf("%s-%d", c.prefix, c.serial.Add(1)) }
 
 // Do sends a request to a base URL once and records what comes back.
