command: a node runs Go code on at most two threads

Cause: 1.2 to 1.4 ms of processor time per call over both nodes, more than the latency that they add. Profiles show a seventh of it in the scheduler, whose threads look for work after each wake-up. Change: GOMAXPROCS is at most 2 unless the environment sets it.

--- a/baobabcommand/memory.go
+++ b/baobabcommand/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime"
 	"runtime/debug"
 )
 
@@ -12,8 +13,18 @@
 	// memoryLimitBytes makes collections more frequent when the live heap grows, so that a node of a large mesh
 	// stays within its 32 MB.
 	memoryLimitBytes = 24 << 20
+	// threadLimit bounds the threads that run Go code. A call wakes a dozen goroutines one after the other; with a thread
+	// for each of 10 cores, threads that look for work take 12 to 18% more processor time per call.
+	threadLimit = 2
 )
 
+// limitThreads sets the number of threads that run Go code unless the environment does.
+func limitThreads() {
+	if os.Getenv("GOMAXPROCS") == "" && runtime.GOMAXPROCS(0) > threadLimit {
+		runtime.GOMAXPROCS(threadLimit)
+	}
+}
+
 // limitMemory sets the garbage collector unless the environment does.
 func limitMemory() {
 	if os.Getenv("GOGC") == "" {
