--- a/baobabcommand/app.go
+++ b/baobabcommand/app.go
@@ -170,6 +170,19 @@
 	return context.WithTimeout(ctx, a.arguments.Timeout)
 }
 
+// connect returns a client and a context for one request. The function ends both.
+func (a *app) connect(ctx context.Context) (*baobaboperator.Client, context.Context, func(), error) {
+	client, err := a.client()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := a.request(ctx)
+	return client, ctx, func() {
+		cancel()
+		client.Close()
+	}, nil
+}
+
 // print writes v as JSON, or the text, depending on --output.
 func (a *app) print(v any, text string) error {
 	if a.arguments.Output != "json" {
--- a/baobabcommand/applycmd.go
+++ b/baobabcommand/applycmd.go
@@ -35,13 +35,11 @@
 	if err != nil {
 		return err
 	}
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	list, err := client.ListResources(ctx, "")
 	if err != nil {
 		return err
--- a/baobabcommand/diffcmd.go
+++ b/baobabcommand/diffcmd.go
@@ -11,13 +11,11 @@
 type diffCommand struct{}
 
 func (*diffCommand) run(ctx context.Context, a *app) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	d, err := client.Diff(ctx)
 	if err != nil {
 		return err
--- a/baobabcommand/edit.go
+++ b/baobabcommand/edit.go
@@ -30,13 +30,11 @@
 }
 
 func (e edit) run(ctx context.Context, a *app) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	current, err := client.GetResource(ctx, e.kind, e.name)
 	absent := baobaboperator.KindOf(err) == baobaboperator.ErrorNotFound
 	if err != nil && (!absent || e.mustExist) {
@@ -106,13 +104,11 @@
 
 // deleteResource deletes a resource if no one else has changed it meanwhile.
 func (o deleteOptions) deleteResource(ctx context.Context, a *app, kind baobaboperator.Kind) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	current, err := client.GetResource(ctx, kind, o.Name)
 	if err != nil {
 		return err
@@ -134,13 +130,11 @@
 
 // listResources prints all resources of a kind.
 func (a *app) listResources(ctx context.Context, kind baobaboperator.Kind) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	list, err := client.ListResources(ctx, kind)
 	if err != nil {
 		return err
@@ -159,13 +153,11 @@
 
 // showResource prints a resource.
 func (o showOptions) showResource(ctx context.Context, a *app, kind baobaboperator.Kind) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	r, err := client.GetResource(ctx, kind, o.Name)
 	if err != nil {
 		return err
--- a/baobabcommand/labelcmd.go
+++ b/baobabcommand/labelcmd.go
@@ -77,13 +77,11 @@
 }
 
 func (c *labelListCommand) run(ctx context.Context, a *app) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	resources, err := c.read(ctx, client)
 	if err != nil {
 		return err
--- a/baobabcommand/statuscmd.go
+++ b/baobabcommand/statuscmd.go
@@ -12,13 +12,11 @@
 type statusCommand struct{}
 
 func (*statusCommand) run(ctx context.Context, a *app) error {
-	client, err := a.client()
+	client, ctx, done, err := a.connect(ctx)
 	if err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := a.request(ctx)
-	defer cancel()
+	defer done()
 	s, err := client.Status(ctx)
 	if err != nil {
 		return err
