--- a/baobabbench/controlexp.go
+++ b/baobabbench/controlexp.go
@@ -150,7 +150,7 @@
 		resident := y["process_resident_memory_bytes"] / 1e6
 		c.residentMB += resident
 		c.residentMax = max(c.residentMax, resident)
-		c.links += y.sum("baobab_peer_links_open")
+		c.links += y.sum("baobab_peer_links_open{")
 	}
 	n := max(float64(c.nodes), 1)
 	c.same, c.other, c.cpuPercent = c.same/n/c.seconds, c.other/n/c.seconds, c.cpuPercent/n/c.seconds
--- a/baobabbench/herdexp.go
+++ b/baobabbench/herdexp.go
@@ -20,6 +20,9 @@
 // herdTick is the interval at which the platform's counters are read. Rates are those of the worst second.
 const herdTick = 250 * time.Millisecond
 
+// herdTail is how long the platform is watched after the last node is ready, while the nodes find each other.
+const herdTail = 5 * time.Second
+
 // A platformWatch reads the platform's counters until it is stopped.
 type platformWatch struct {
 	stop   context.CancelFunc
@@ -64,6 +67,9 @@
 	}
 	watch := watchPlatform(ctx, m)
 	ready, err := herd(ctx, m, nodes)
+	if err == nil {
+		err = pause(ctx, herdTail)
+	}
 	reads, writes := watch.close()
 	if err != nil {
 		return err
--- a/baobabnode/members.go
+++ b/baobabnode/members.go
@@ -145,6 +145,24 @@
 	return list[random.IntN(len(list))], true
 }
 
+// exchangePartners is the number of members of the own failure domain with which a node exchanges. Each node has other
+// partners, so that a record reaches all members in few rounds, and the links stay few in a large failure domain.
+const exchangePartners = 8
+
+// partner returns a random one of the members with which this node exchanges.
+func (m *members) partner(random *rand.Rand) (membership.Member, bool) {
+	var list []membership.Member
+	for _, v := range m.ranked("exchange/"+m.self, m.selfRecord().FailureDomain()) {
+		if v.ID() != m.self && len(list) < exchangePartners {
+			list = append(list, v)
+		}
+	}
+	if len(list) == 0 {
+		return membership.Member{}, false
+	}
+	return list[random.IntN(len(list))], true
+}
+
 func takesCalls(s membership.EndpointState) bool {
 	return s == membership.EndpointReady || s == membership.EndpointWarming
 }
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -246,12 +246,15 @@
 	return ack
 }
 
-// exchangeRound exchanges with a random member of the own failure domain. Bridges also exchange with another failure
+// exchangeRound exchanges with a random partner in the own failure domain. Bridges also exchange with another failure
 // domain, and with a seed that is not a member, so that parts that lost each other join again.
 func (c *membershipController) exchangeRound(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), 0))
 	own := c.members.selfRecord().FailureDomain()
-	c.exchangeAny(ctx, func() (string, bool) { return c.addressIn(random, own) }, false)
+	c.exchangeAny(ctx, func() (string, bool) {
+		m, ok := c.members.partner(random)
+		return m.PeerAddress(), ok
+	}, false)
 	if !c.members.leads(bridgePurpose, bridges) {
 		return
 	}
