--- a/baobabadmission/limiter.go
+++ b/baobabadmission/limiter.go
@@ -81,6 +81,7 @@
 type Limiter struct {
 	warmUp         time.Duration
 	warmUpFraction float64
+	fixed          bool // The announced slots are the limit; only latencies are learnt.
 
 	slots       int
 	connections int       // Upper bound of the limit, at least 1.
@@ -185,7 +186,7 @@
 
 // shed lowers the limit, once for all calls that were sent under the same limit.
 func (l *Limiter) shed(now, sent time.Time, inFlight int) {
-	if sent.Before(l.changed) {
+	if l.fixed || sent.Before(l.changed) {
 		return
 	}
 	l.set(now, max(1, min(l.limit, float64(inFlight))*shedCut))
@@ -216,6 +217,11 @@
 
 // decide moves the limit at the end of a window.
 func (l *Limiter) decide(now time.Time) {
+	if l.fixed {
+		l.baseline.close(baselineRise(1, false))
+		l.nextWindow(now)
+		return
+	}
 	ratio := l.baseline.ratio()
 	throughput := float64(l.successes) / max(now.Sub(l.windowStart).Seconds(), 1e-6)
 	l.smooth(ratio, throughput)
--- a/baobabadmission/option.go
+++ b/baobabadmission/option.go
@@ -15,3 +15,9 @@
 func WithWarmUp(d time.Duration, fraction float64) Option {
 	return func(g *Gate) { g.limiter = NewLimiter(d, min(max(fraction, 0), 1)) }
 }
+
+// WithAnnouncedLimit makes the announced slots the limit. It suits upstreams whose announcement is known to be right and
+// whose calls last longer for other reasons than their number, such as calls that they make themselves.
+func WithAnnouncedLimit() Option {
+	return func(g *Gate) { g.limiter.fixed = true }
+}
--- a/baobabcaller/answer.go
+++ b/baobabcaller/answer.go
@@ -29,7 +29,7 @@
 func (h *Handler) writeAnswer(w http.ResponseWriter, r *http.Request, a *call.Answer) {
 	defer closeBody(a)
 	header := w.Header()
-	for name, values := range forwardable(a.Header()) {
+	for name, values := range h.forwardable(a.Header()) {
 		header[name] = values
 	}
 	if !r.ProtoAtLeast(1, 1) && header.Get("Content-Length") == "" && hasBody(r, a) {
@@ -55,7 +55,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	h.extend(w)
-	w.Header().Set(headerOutcome, string(call.OutcomeRan))
+	h.setField(w.Header(), call.FieldOutcome, string(call.OutcomeRan))
 	h.meters.answers(call.OutcomeRan).Inc()
 	w.WriteHeader(status)
 }
@@ -67,9 +67,9 @@
 	n, err := b.ReadFrom(io.LimitReader(a.Body(), h.maxBodyBytes+1))
 	if err != nil || n > h.maxBodyBytes {
 		h.meters.truncated.Inc()
-		id := w.Header().Get(headerCallID)
+		id := w.Header().Get(h.fields.Name(call.FieldCallID))
 		clear(w.Header())
-		w.Header().Set(headerCallID, id)
+		h.setField(w.Header(), call.FieldCallID, id)
 		h.writeRefusal(w, call.NewRefusal(call.ReasonAnswerLost, call.OutcomeUnknown, "answer is incomplete or too large for HTTP/1.0"))
 		return
 	}
--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -31,6 +31,11 @@
 	bodyTimeout    time.Duration // Time in which the request body must arrive.
 	writeTimeout   time.Duration // Time in which the caller must take each piece of the answer.
 	clock          func() time.Time
+	fields         call.Fields
+	callerIDs      bool   // A call has the id that its caller gave it.
+	service        string // Sent upstream as the caller's service where the field has a name.
+	status         func(*call.Refusal) int
+	retryAfter     func(time.Duration) string
 	inProgress     atomic.Int64
 	closing        atomic.Bool // Set: each answer asks the caller to close its connection.
 }
@@ -59,6 +64,20 @@
 // WithClock replaces time.Now.
 func WithClock(now func() time.Time) Option { return func(h *Handler) { h.clock = now } }
 
+// WithFields replaces the names of the header fields.
+func WithFields(f call.Fields) Option { return func(h *Handler) { h.fields = f } }
+
+// WithCallerIDs takes the id of a call from its request where the request has one.
+func WithCallerIDs() Option { return func(h *Handler) { h.callerIDs = true } }
+
+// WithService names the service on whose VM calls enter the mesh. Upstreams get it with each call.
+func WithService(name string) Option { return func(h *Handler) { h.service = name } }
+
+// WithRefusals sets the HTTP status of a refusal and the text of Retry-After.
+func WithRefusals(status func(*call.Refusal) int, retryAfter func(time.Duration) string) Option {
+	return func(h *Handler) { h.status, h.retryAfter = status, retryAfter }
+}
+
 // NewHandler returns a handler for all hosts and paths.
 func NewHandler(server Server, options ...Option) *Handler {
 	h := &Handler{
@@ -70,6 +89,9 @@
 		bodyTimeout:    defaultBodyTimeout,
 		writeTimeout:   defaultWriteTimeout,
 		clock:          time.Now,
+		fields:         call.DefaultFields(),
+		status:         statusOf,
+		retryAfter:     wholeSeconds,
 	}
 	for _, o := range options {
 		o(h)
@@ -84,7 +106,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodConnect || r.URL.Path == "" || r.URL.Path[0] != '/' {
-		w.Header().Set(headerCallID, h.ids.next())
+		h.setField(w.Header(), call.FieldCallID, h.ids.next())
 		h.writeRefusal(w, notRun(call.ReasonMalformed, "request target must be a path"))
 		return
 	}
@@ -97,10 +119,21 @@
 // Close makes each further answer ask the caller to close its connection. Calls are still served.
 func (h *Handler) Close() { h.closing.Store(true) }
 
+// callID returns the id that the caller gave the call, or a new one.
+func (h *Handler) callID(r *http.Request) string {
+	if !h.callerIDs {
+		return h.ids.next()
+	}
+	if v := r.Header[h.fields.Name(call.FieldCallID)]; len(v) == 1 && v[0] != "" && len(v[0]) <= maxNameBytes {
+		return v[0]
+	}
+	return h.ids.next()
+}
+
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
 	now := h.clock()
-	id := h.ids.next()
-	w.Header().Set(headerCallID, id)
+	id := h.callID(r)
+	h.setField(w.Header(), call.FieldCallID, id)
 	defer h.inProgress.Add(-1)
 	if h.inProgress.Add(1) > h.maxCalls && h.maxCalls > 0 {
 		w.Header().Set("Connection", "close")
--- a/baobabcaller/request.go
+++ b/baobabcaller/request.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	call "github.com/baobabdale/baobabdale/baobabcall"
@@ -27,11 +28,11 @@
 	if r.Method == http.MethodConnect {
 		return nil, notRun(call.ReasonMalformed, "method CONNECT is not supported")
 	}
-	options, refusal := readOptions(r.Header, now)
+	options, refusal := h.readOptions(r.Header, now)
 	if refusal != nil {
 		return nil, refusal
 	}
-	caller, refusal := readCaller(r)
+	caller, refusal := h.readCaller(r)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -39,24 +40,34 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	options = append(options, call.WithBody(body), call.WithHeader(forwardable(r.Header, requestControl...)))
-	return call.NewCall(id, caller, r.Method, r.Host, r.URL.RequestURI(), options...), nil
+	header := h.forwardable(r.Header, h.fields.Name(call.FieldIdempotencyKey), "Content-Length", "Expect")
+	h.setField(header, call.FieldCallerService, h.service)
+	options = append(options, call.WithBody(body), call.WithHeader(header))
+	return call.NewCall(id, caller, r.Method, r.Host, targetOf(r), options...), nil
 }
 
-func readOptions(header http.Header, now time.Time) ([]call.Option, *call.Refusal) {
-	rank, refusal := readName(header, headerRank)
+// targetOf returns the path and query as the caller sent them. Encoding the parsed form again could change the path.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func (h *Handler) readOptions(header http.Header, now time.Time) ([]call.Option, *call.Refusal) {
+	rank, refusal := readName(header, h.fields.Name(call.FieldRank))
 	if refusal != nil {
 		return nil, refusal
 	}
-	key, refusal := readName(header, headerIdempotencyKey)
+	key, refusal := readName(header, h.fields.Name(call.FieldIdempotencyKey))
 	if refusal != nil {
 		return nil, refusal
 	}
-	deadline, refusal := readDeadline(header, now)
+	deadline, refusal := readDeadline(header, h.fields.Name(call.FieldTimeout), now)
 	if refusal != nil {
 		return nil, refusal
 	}
-	retried, refusal := readRetried(header)
+	retried, refusal := readRetried(header, h.fields.Name(call.FieldRetried))
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -71,7 +82,7 @@
 // upstreams could read them differently.
 func readName(header http.Header, name string) (string, *call.Refusal) {
 	values := header[name]
-	if len(values) == 0 {
+	if name == "" || len(values) == 0 {
 		return "", nil
 	}
 	if len(values) > 1 || len(values[0]) > maxNameBytes {
@@ -80,14 +91,14 @@
 	return values[0], nil
 }
 
-func readDeadline(header http.Header, now time.Time) (time.Time, *call.Refusal) {
-	text, refusal := readName(header, headerTimeout)
+func readDeadline(header http.Header, name string, now time.Time) (time.Time, *call.Refusal) {
+	text, refusal := readName(header, name)
 	if refusal != nil || text == "" {
 		return time.Time{}, refusal
 	}
 	ms, err := strconv.ParseUint(text, 10, 63)
 	if err != nil {
-		return time.Time{}, notRun(call.ReasonMalformed, "%s must be a number of milliseconds", headerTimeout)
+		return time.Time{}, notRun(call.ReasonMalformed, "%s must be a number of milliseconds", name)
 	}
 	if ms > uint64(maxTimeout.Milliseconds()) {
 		return now.Add(maxTimeout), nil
@@ -95,20 +106,20 @@
 	return now.Add(time.Duration(ms) * time.Millisecond), nil
 }
 
-func readRetried(header http.Header) (bool, *call.Refusal) {
-	text, refusal := readName(header, headerRetried)
+func readRetried(header http.Header, name string) (bool, *call.Refusal) {
+	text, refusal := readName(header, name)
 	if refusal != nil || text == "" {
 		return false, refusal
 	}
 	retried, err := strconv.ParseBool(text)
 	if err != nil {
-		return false, notRun(call.ReasonMalformed, "%s must be 0 or 1", headerRetried)
+		return false, notRun(call.ReasonMalformed, "%s must be 0 or 1", name)
 	}
 	return retried, nil
 }
 
-func readCaller(r *http.Request) (string, *call.Refusal) {
-	caller, refusal := readName(r.Header, headerCaller)
+func (h *Handler) readCaller(r *http.Request) (string, *call.Refusal) {
+	caller, refusal := readName(r.Header, h.fields.Name(call.FieldCaller))
 	if refusal != nil || caller != "" {
 		return caller, refusal
 	}
--- a/baobabcommand/memory.go
+++ b/baobabcommand/memory.go
@@ -18,6 +18,12 @@
 	threadLimit = 2
 )
 
+// LimitResources sets the number of threads and the garbage collector for a node.
+func LimitResources() {
+	limitMemory()
+	limitThreads()
+}
+
 // limitThreads sets the number of threads that run Go code unless the environment does.
 func limitThreads() {
 	if os.Getenv("GOMAXPROCS") == "" && runtime.GOMAXPROCS(0) > threadLimit {
--- a/baobabconfiguration/resource.go
+++ b/baobabconfiguration/resource.go
@@ -53,9 +53,8 @@
 // are left out get their defaults. Whether the content is valid is decided by Validate.
 func ParseResource(kind Kind, name string, text []byte) (Resource, error) {
 	operation := "parse " + string(kind) + " " + name
-	if !namePattern.MatchString(name) {
-		return nil, newError("parse "+string(kind), ErrorInvalid,
-			errors.Errorf("name %.64q must be 1 to 128 letters, digits, '.', '_', ':' or '-'", name))
+	if err := checkName(kind, name); err != nil {
+		return nil, err
 	}
 	if len(text) > MaxResourceBytes {
 		return nil, newError(operation, ErrorSize, errors.Errorf("%d bytes, limit %d", len(text), MaxResourceBytes))
@@ -78,6 +77,14 @@
 	return r, nil
 }
 
+func checkName(kind Kind, name string) error {
+	if namePattern.MatchString(name) {
+		return nil
+	}
+	return newError("parse "+string(kind), ErrorInvalid,
+		errors.Errorf("name %.64q must be 1 to 128 letters, digits, '.', '_', ':' or '-'", name))
+}
+
 func parse(kind Kind, name string, text []byte) (Resource, error) {
 	switch kind {
 	case KindPolicy:
--- a/baobabconfiguration/route.go
+++ b/baobabconfiguration/route.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -11,14 +12,17 @@
 // A Route sends the requests for a host, a path prefix and methods to a service.
 type Route struct {
 	identity
-	host                  string   // Small letters, without port; empty matches every host.
-	pathPrefix            string   // Whole segments, so "/a" matches "/a" and "/a/b" but not "/ab".
+	host string // Small letters, without port; empty matches every host.
+	// pathPrefix has whole segments, so "/a" matches "/a" and "/a/b" but not "/ab"; "/a/" matches "/a/b" and not "/a".
+	pathPrefix            string
 	methods               []string // Sorted; empty matches every method.
 	service               string
-	policy                string // Empty means DefaultPolicyName.
+	split                 []Share // Sorted by service; empty, or the shares of the calls that each service gets.
+	policy                string  // Empty means DefaultPolicyName.
 	rank                  string
 	timeout               time.Duration
 	idempotent            bool
+	unsafe                bool // No method may run more than once; excludes idempotent.
 	requireIdempotencyKey bool
 }
 
@@ -32,14 +36,69 @@
 	Timeout               durationText `json:"timeout"`
 	Idempotent            bool         `json:"idempotent"`
 	RequireIdempotencyKey bool         `json:"require_idempotency_key"`
+	Split                 []shareJSON  `json:"split,omitempty"`
+	Unsafe                bool         `json:"unsafe,omitempty"`
+}
+
+// RouteOption sets an optional property of a route.
+type RouteOption func(*routeJSON)
+
+// WithRouteIdempotent says that a request may run more than once whatever its method.
+func WithRouteIdempotent() RouteOption { return func(j *routeJSON) { j.Idempotent = true } }
+
+// WithRoutePolicy sets the policy and the rank within it.
+func WithRoutePolicy(policy, rank string) RouteOption {
+	return func(j *routeJSON) { j.Policy, j.Rank = policy, rank }
+}
+
+// WithRouteSplit divides the calls among services by weight. The route's service is the first of them by name.
+func WithRouteSplit(weights map[string]int) RouteOption {
+	return func(j *routeJSON) {
+		for service, weight := range weights {
+			j.Split = append(j.Split, shareJSON{Service: service, Weight: weight})
+		}
+	}
+}
+
+// WithRouteTimeout sets the limit on the duration of a call.
+func WithRouteTimeout(d time.Duration) RouteOption {
+	return func(j *routeJSON) { j.Timeout = durationText(d) }
+}
+
+// WithRouteUnsafe says that a request may run at most once whatever its method.
+func WithRouteUnsafe() RouteOption { return func(j *routeJSON) { j.Unsafe = true } }
+
+// NewRoute returns a route as ParseResource would.
+func NewRoute(name, host, pathPrefix, service string, options ...RouteOption) (Route, error) {
+	if err := checkName(KindRoute, name); err != nil {
+		return Route{}, err
+	}
+	j := defaultRouteJSON()
+	j.Host, j.PathPrefix, j.Service = host, pathPrefix, service
+	for _, o := range options {
+		o(&j)
+	}
+	return newRoute(name, j)
+}
+
+func defaultRouteJSON() routeJSON {
+	return routeJSON{PathPrefix: "/", Methods: []string{}, Rank: DefaultRankName, Timeout: durationText(defaultRouteTimeout)}
 }
 
 func parseRoute(name string, text []byte) (Resource, error) {
-	j := routeJSON{PathPrefix: "/", Methods: []string{}, Rank: DefaultRankName, Timeout: durationText(defaultRouteTimeout)}
+	j := defaultRouteJSON()
 	if err := decodeFields(text, &j); err != nil {
 		return nil, err
 	}
+	return newRoute(name, j)
+}
+
+func newRoute(name string, j routeJSON) (Route, error) {
 	slices.Sort(j.Methods)
+	slices.SortStableFunc(j.Split, func(a, b shareJSON) int { return strings.Compare(a.Service, b.Service) })
+	if j.Service == "" && len(j.Split) > 0 {
+		j.Service = j.Split[0].Service
+	}
 	r := Route{
 		host:                  j.Host,
 		pathPrefix:            j.PathPrefix,
@@ -49,8 +108,12 @@
 		rank:                  j.Rank,
 		timeout:               time.Duration(j.Timeout),
 		idempotent:            j.Idempotent,
+		unsafe:                j.Unsafe,
 		requireIdempotencyKey: j.RequireIdempotencyKey,
 	}
+	for _, v := range j.Split {
+		r.split = append(r.split, Share{service: v.Service, weight: v.Weight})
+	}
 	var err error
 	r.identity, err = newIdentity(name, j)
 	return r, err
@@ -71,6 +134,38 @@
 // Service returns the name of the service.
 func (r Route) Service() string { return r.service }
 
+// Split returns the shares of the services among which the calls are divided, sorted by service, or an empty list; it
+// must not be changed.
+func (r Route) Split() []Share { return r.split }
+
+// Services returns the names of the services that may get calls, sorted.
+func (r Route) Services() []string {
+	if len(r.split) == 0 {
+		return []string{r.service}
+	}
+	names := make([]string, len(r.split))
+	for i, v := range r.split {
+		names[i] = v.service
+	}
+	return names
+}
+
+// Target returns the service of a call, given a number from 0 to below 1 that was drawn for it.
+func (r Route) Target(draw float64) string {
+	total := 0
+	for _, v := range r.split {
+		total += v.weight
+	}
+	left := draw * float64(total)
+	for _, v := range r.split {
+		left -= float64(v.weight)
+		if left < 0 {
+			return v.service
+		}
+	}
+	return r.service
+}
+
 // Policy returns the name of the policy, or an empty string for DefaultPolicyName.
 func (r Route) Policy() string { return r.policy }
 
@@ -81,8 +176,11 @@
 func (r Route) Timeout() time.Duration { return r.timeout }
 
 // Idempotent reports whether a request with the method may run more than once without harm. GET, HEAD and
-// OPTIONS always may; other methods only if the route says so.
+// OPTIONS may unless the route says that nothing may; other methods only if the route says so.
 func (r Route) Idempotent(method string) bool {
+	if r.unsafe {
+		return false
+	}
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		return true
--- a/baobabconfiguration/routeindex.go
+++ b/baobabconfiguration/routeindex.go
@@ -47,22 +47,35 @@
 	return nil
 }
 
-// match tries the prefixes of whole segments, the longest first.
+// match tries the prefixes of whole segments, the longest first. Of two that differ only in a slash at the end, the one
+// with the slash is the longer.
 func (h *hostRoutes) match(path, method string) *routeEntry {
+	rest := ""
 	if len(path) > h.longest {
 		// The byte after a prefix must be a slash, so one more byte is kept to see it.
 		path = path[:h.longest+1]
-		path = path[:strings.LastIndexByte(path, '/')]
+		path, rest = cutLast(path)
 	}
 	for path != "" {
+		if rest != "" {
+			if e := pickMethod(h.prefixes[path+"/"], method); e != nil {
+				return e
+			}
+		}
 		if e := pickMethod(h.prefixes[path], method); e != nil {
 			return e
 		}
-		path = path[:strings.LastIndexByte(path, '/')]
+		path, rest = cutLast(path)
 	}
 	return pickMethod(h.prefixes["/"], method)
 }
 
+// cutLast returns the part of a path before its last slash, and the slash.
+func cutLast(path string) (before, slash string) {
+	i := strings.LastIndexByte(path, '/')
+	return path[:i], path[i : i+1]
+}
+
 // pickMethod returns the entry that lists the method, else the one for every method, else nil.
 func pickMethod(entries []routeEntry, method string) *routeEntry {
 	var every *routeEntry
--- a/baobabconfiguration/validate.go
+++ b/baobabconfiguration/validate.go
@@ -14,6 +14,7 @@
 	maxAttemptsLimit  = 10
 	maxQueueLimit     = 100_000
 	maxPathPrefix     = 1024
+	maxWeight         = 1_000_000
 	maxRanksPerPolicy = 16
 )
 
@@ -116,7 +117,7 @@
 		v.add("host %.64q must be empty or a name in small letters without port", r.host)
 	}
 	if !isPathPrefix(r.pathPrefix) {
-		v.add("path_prefix %.64q must start with \"/\", be clean and not end with \"/\"", r.pathPrefix)
+		v.add("path_prefix %.64q must start with \"/\" and be clean", r.pathPrefix)
 	}
 	for i, m := range r.methods {
 		if !methodPattern.MatchString(m) {
@@ -132,6 +133,10 @@
 	if _, ok := v.document.Service(r.service); !ok {
 		v.add("service %q does not exist", r.service)
 	}
+	if r.unsafe && r.idempotent {
+		v.add("unsafe and idempotent exclude each other")
+	}
+	v.split(r.split)
 	p, ok := v.document.Policy(r.policy)
 	if !ok {
 		v.add("policy %q does not exist", r.policy)
@@ -142,9 +147,30 @@
 	}
 }
 
+func (v *validator) split(list []Share) {
+	total := 0
+	for i, s := range list {
+		v.within("weight of service "+s.service, s.weight, 0, maxWeight)
+		total += min(max(s.weight, 0), maxWeight)
+		if _, ok := v.document.Service(s.service); !ok {
+			v.add("service %q of the split does not exist", s.service)
+		}
+		if i > 0 && list[i-1].service == s.service {
+			v.add("service %s occurs twice in the split", s.service)
+		}
+	}
+	if len(list) > 0 && total == 0 {
+		v.add("all weights of the split are 0")
+	}
+}
+
 // isPathPrefix reports whether the prefix can match a path: Match compares whole segments of clean paths.
 func isPathPrefix(prefix string) bool {
-	return strings.HasPrefix(prefix, "/") && len(prefix) <= maxPathPrefix && path.Clean(prefix) == prefix &&
+	clean := prefix
+	if len(prefix) > 1 {
+		clean = strings.TrimSuffix(prefix, "/")
+	}
+	return strings.HasPrefix(prefix, "/") && len(prefix) <= maxPathPrefix && path.Clean(clean) == clean &&
 		!strings.ContainsAny(prefix, "?# ")
 }
 
--- a/baobabconfiguration/view.go
+++ b/baobabconfiguration/view.go
@@ -144,12 +144,10 @@
 	if !ok {
 		return routeEntry{}, errors.New("does not exist")
 	}
-	if _, ok := b.services[r.service]; !ok {
-		s, ok := b.document.Service(r.service)
-		if !ok {
-			return routeEntry{}, errors.Errorf("service %q does not exist", r.service)
+	for _, name := range r.Services() {
+		if err := b.service(name); err != nil {
+			return routeEntry{}, err
 		}
-		b.services[r.service] = s
 	}
 	p, err := b.policy(r.policy)
 	if err != nil {
@@ -161,6 +159,18 @@
 	return routeEntry{route: r, policy: p}, nil
 }
 
+func (b *viewBuilder) service(name string) error {
+	if _, ok := b.services[name]; ok {
+		return nil
+	}
+	s, ok := b.document.Service(name)
+	if !ok {
+		return errors.Errorf("service %q does not exist", name)
+	}
+	b.services[name] = s
+	return nil
+}
+
 func (b *viewBuilder) policy(name string) (Policy, error) {
 	if name == "" {
 		name = DefaultPolicyName
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -23,6 +23,13 @@
 	// headReaders is the number of members per failure domain that read the head from the platform. Two readers do
 	// no harm, because a version is a number with a digest.
 	headReaders = 2
+	// watchers is the number of members per failure domain that follow the head of a source that tells of changes. Each
+	// change costs the platform one read per watcher: with 24 failure domains 384 of its 2,000 a second.
+	watchers = 16
+	// watchPause and watchPauseMost bound the mean pause after a failure to follow the head. The longest still leaves
+	// time for a version to come into force within a second or two of the platform's return.
+	watchPause     = 100 * time.Millisecond
+	watchPauseMost = 800 * time.Millisecond
 	// headPurpose ranks the members that read the head.
 	headPurpose = "head"
 	// historyLength is how many recent versions a node keeps to answer with deltas.
@@ -46,7 +53,7 @@
 // the blackboard.
 type configurationController struct {
 	board       *blackboard.Board
-	book        *release.Book
+	source      Source
 	members     *members
 	broadcaster *broadcaster
 	transport   *peer.Transport
@@ -66,13 +73,49 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { c.fetchWanted(ctx) })
 	loops.Go(func() { c.followUpstream(ctx) })
-	for sleep(ctx, c.interval) {
-		c.readHead(ctx)
+	if w, ok := c.source.(Watcher); ok {
+		loops.Go(func() { c.watch(ctx, w) })
+	} else {
+		loops.Go(func() {
+			for sleep(ctx, c.interval) {
+				c.readHead(ctx)
+			}
+		})
 	}
 	loops.Wait()
 	return nil
 }
 
+// watch follows the head of a source that tells of changes. In a large failure domain only a few members do, and spread
+// what they hear of; the others hear of it from them.
+func (c *configurationController) watch(ctx context.Context, w Watcher) {
+	for pause := watchPause; ctx.Err() == nil; {
+		if !c.members.leads(headPurpose, watchers) {
+			sleep(ctx, c.interval)
+			continue
+		}
+		head, err := w.Watch(ctx)
+		if err == nil {
+			err = c.load(ctx, head, c.spreads())
+		}
+		if err == nil {
+			pause = watchPause
+			continue
+		}
+		if ctx.Err() == nil {
+			c.logger.Warn("head not followed", "err", err, "next", pause)
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, watchPauseMost)
+	}
+}
+
+// spreads reports whether some members of the failure domain do not watch and hear of versions from this one.
+func (c *configurationController) spreads() bool {
+	own := c.members.selfRecord().FailureDomain()
+	return len(c.members.ranked(headPurpose, own)) > watchers && c.members.leads(headPurpose, headReaders)
+}
+
 func (c *configurationController) fetchWanted(ctx context.Context) {
 	for {
 		select {
@@ -196,7 +239,7 @@
 // loadHead reads the head and puts its version in force when it is newer. If spread is set, it also spreads the
 // version in the own failure domain.
 func (c *configurationController) loadHead(ctx context.Context, spread bool) (release.Head, error) {
-	head, err := c.book.Head(ctx)
+	head, err := c.source.Head(ctx)
 	if err != nil {
 		return head, err
 	}
@@ -205,7 +248,7 @@
 
 // confirmHead puts the version of the head in force when a read has missed it.
 func (c *configurationController) confirmHead(ctx context.Context, read release.Head) error {
-	head, err := c.book.Confirm(ctx, read)
+	head, err := c.source.Confirm(ctx, read)
 	if err != nil {
 		return err
 	}
@@ -218,7 +261,7 @@
 	if number <= c.board.Version().Number() || c.rejected(head.Version()) {
 		return nil
 	}
-	s, err := c.book.Load(ctx, head)
+	s, err := c.source.Load(ctx, head)
 	if err != nil {
 		if release.KindOf(err) == release.KindInvalid {
 			return c.reject(head.Version(), err)
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -88,16 +88,17 @@
 	if !idempotent && rt.RequireIdempotencyKey() && c.IdempotencyKey() == "" {
 		return nil, call.NewRefusal(call.ReasonKeyRequired, call.OutcomeNotRun, "route "+rt.Name()+" requires an Idempotency-Key")
 	}
-	set := g.board.Endpoints(rt.Service())
+	service := rt.Target(rand.Float64())
+	set := g.board.Endpoints(service)
 	if set == nil {
-		return nil, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "service "+rt.Service()+" has no upstream").WithRetryAfter(time.Second)
+		return nil, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "service "+service+" has no upstream").WithRetryAfter(time.Second)
 	}
 	return &routedCall{
 		request: &admissionRequest{
-			call: c, service: rt.Service(), rank: rankOf(c, rt, policy), deadline: g.deadline(now, c, rt), idempotent: idempotent,
+			call: c, service: service, rank: rankOf(c, rt, policy), deadline: g.deadline(now, c, rt), idempotent: idempotent,
 		},
 		set:         set,
-		budget:      g.budget(rt.Service(), policy.RetryBudgetPercent()),
+		budget:      g.budget(service, policy.RetryBudgetPercent()),
 		maxAttempts: policy.MaxAttempts(),
 	}, nil
 }
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -37,6 +37,8 @@
 	forgetInterval = time.Minute
 	// claimBatchSize is the greatest number of claims in one transaction.
 	claimBatchSize = 64
+	// warmUpFraction is the share of its slots that an upstream gets right after its start.
+	warmUpFraction = 0.25
 )
 
 // A Node is the process on an upstream's VM.
@@ -47,7 +49,9 @@
 	tomb     *tomb.Tomb
 	now      func() time.Time
 
-	store         *platform.Client
+	parts         parts
+	store         platform.Store
+	client        *platform.Client // Nil when the store comes from outside.
 	board         *blackboard.Board
 	members       *members
 	transport     *peer.Transport
@@ -56,6 +60,7 @@
 	registry      *upstream.Registry
 	signals       *route.Signals
 	admitter      *Admitter
+	book          *release.Book
 	configuration *configurationController
 	membership    *membershipController
 	upstream      *upstreamController
@@ -70,10 +75,14 @@
 }
 
 // New returns a node that is not started.
-func New(s *settings.Settings, logger *log.Logger) (*Node, error) {
+func New(s *settings.Settings, logger *log.Logger, options ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, logger: logger, metrics: metrics.NewSet(), tomb: new(tomb.Tomb), now: time.Now,
-		board: blackboard.NewBoard(), gate: admission.NewGate(), registry: upstream.NewRegistry(), signals: route.NewSignals(),
+		board: blackboard.NewBoard(), gate: newGate(s.Upstream()), signals: route.NewSignals(),
+		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit())),
+	}
+	for _, o := range options {
+		o(&n.parts)
 	}
 	n.refusals = newRefusalLog(n.now, logger)
 	if err := n.connect(); err != nil {
@@ -103,18 +112,31 @@
 	})
 	err = n.tomb.Wait()
 	_ = n.ledger.Close()
-	n.store.Close()
+	if n.client != nil {
+		n.client.Close()
+	}
 	return errors.Wrap(err, "run node")
 }
 
+// newGate returns the gate of an upstream.
+func newGate(u settings.Upstream) *admission.Gate {
+	options := []admission.Option{admission.WithWarmUp(u.WarmUp(), warmUpFraction)}
+	if u.FixedLimit() {
+		options = append(options, admission.WithAnnouncedLimit())
+	}
+	return admission.NewGate(options...)
+}
+
 // connect builds what reaches the platform and the other nodes.
 func (n *Node) connect() error {
 	s := n.settings
-	store, err := platform.NewClient(s.Platform().URL(), platform.WithTimeout(s.Platform().Timeout()))
-	if err != nil {
-		return err
+	if n.store = n.parts.store; n.store == nil {
+		client, err := platform.NewClient(s.Platform().URL(), platform.WithTimeout(s.Platform().Timeout()))
+		if err != nil {
+			return err
+		}
+		n.client, n.store = client, client
 	}
-	n.store = store
 	credentials, err := credentialsOf(s.Peers())
 	if err != nil {
 		return err
@@ -125,10 +147,11 @@
 		peer.WithMaxLinks(s.Peers().MaxLinks()),
 		peer.WithMaxMessageBytes(int(s.Limits().MaxMessageSize().Bytes())),
 		peer.WithSameDomain(n.sameDomain),
+		peer.WithKeepAlive(s.Peers().KeepAlive()),
 		peer.WithDial(dialFrom(s.Listen().Peer())),
 		peer.WithRefused(n.refusals.link),
 	)
-	n.ledger = claim.NewLedger(claimStore{store: store},
+	n.ledger = claim.NewLedger(claimStore{store: n.store},
 		claim.WithInFlight(s.Claim().MaxInFlight()),
 		claim.WithRetention(s.Claim().Retention()),
 		claim.WithBatch(s.Claim().BatchDelay(), claimBatchSize),
@@ -146,8 +169,13 @@
 	n.members = newMembers(n.board, table)
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger)
+	n.book = release.NewBook(n.store)
+	source := n.parts.source
+	if source == nil {
+		source = n.book
+	}
 	n.configuration = &configurationController{
-		board: n.board, book: release.NewBook(n.store), members: n.members, broadcaster: broadcaster, transport: n.transport,
+		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
 		labels: placeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
 		interval: s.Platform().PollInterval(), wanted: make(chan wanted, wantedQueue),
 	}
@@ -159,12 +187,14 @@
 	}
 	n.upstream = &upstreamController{
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
+		client: n.parts.client, probes: s.Upstream().Probes(),
 	}
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
 	}
 	n.starter = newStarter()
 	n.starter.members, n.starter.membership, n.starter.configuration = n.members, n.membership, n.configuration
+	n.starter.authoritative = n.parts.authoritative
 	n.starter.seeds, n.starter.now, n.starter.logger = n.seeds, n.now, n.logger
 }
 
@@ -179,26 +209,29 @@
 		quarantine: n.quarantine, status: status, maxBody: s.Limits().MaxBodySize().Bytes(), now: n.now, logger: n.logger,
 	}
 	ingress := &Ingress{
-		board: n.board, chooser: route.NewChooser(n.signals), signals: n.signals,
+		board: n.board, chooser: route.NewChooser(n.signals, route.WithWarmTime(s.Upstream().WarmUp())), signals: n.signals,
 		budgets: blackboard.NewMap[budgetKey, *route.Budget](), admitter: n.admitter,
 		remote: &remoteNodes{transport: n.transport, now: n.now}, self: n.members.self, ready: n.starter, counters: counters,
 		defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
 	}
-	handler := caller.NewHandler(ingress,
+	handler := caller.NewHandler(ingress, append([]caller.Option{
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
 		caller.WithMaxHeaderBytes(int(s.Limits().MaxHeaderSize().Bytes())),
 		caller.WithMaxCalls(s.Limits().MaxCalls()),
-		caller.WithMetrics(n.metrics))
+		caller.WithService(s.Upstream().Service()),
+		caller.WithMetrics(n.metrics),
+	}, n.parts.caller...)...)
 	status.refusals = handler.Refusals
 	n.entry = caller.NewEdge(handler, caller.WithGrace(s.Shutdown().GracePeriod()))
-	service := &operatorService{book: n.configuration.book, configuration: n.configuration, status: status}
-	n.operators = operator.NewServer(service, n, s.Operator().Token(), operator.WithMetrics(n.metrics),
+	service := &operatorService{book: n.book, configuration: n.configuration, status: status}
+	n.operators = operator.NewServer(service, n, operatorToken(s.Operator()), operator.WithMetrics(n.metrics),
 		operator.WithUnauthorized(n.refusals.operator))
 }
 
 // listeners are the sockets of a node.
 type listeners struct {
 	entry, peer, operator, announce net.Listener
+	ready                           net.Listener // Nil without an address of its own.
 }
 
 func (n *Node) listen() (*listeners, error) {
@@ -211,7 +244,11 @@
 		{&l.peer, n.settings.Listen().Peer()},
 		{&l.operator, n.settings.Listen().Operator()},
 		{&l.announce, n.settings.Listen().Announce()},
+		{&l.ready, n.settings.Listen().Ready()},
 	} {
+		if !v.address.IsValid() {
+			continue
+		}
 		opened, err := net.Listen("tcp", v.address.String())
 		if err != nil {
 			l.close()
@@ -223,7 +260,7 @@
 }
 
 func (l *listeners) close() {
-	for _, v := range []net.Listener{l.entry, l.peer, l.operator, l.announce} {
+	for _, v := range []net.Listener{l.entry, l.peer, l.operator, l.announce, l.ready} {
 		if v != nil {
 			_ = v.Close()
 		}
@@ -240,7 +277,10 @@
 		return errors.Wrap(n.transport.Close(), "close transport")
 	})
 	n.serveHTTP(l.operator, n.operators)
-	n.serveHTTP(l.announce, upstream.NewAnnouncements(n.registry))
+	n.serveHTTP(l.announce, n.announcements())
+	if l.ready != nil {
+		n.serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
+	}
 	for _, run := range []func(context.Context) error{
 		n.starter.run, n.membership.run, n.configuration.run, n.upstream.run, n.seeds.run, n.quarantine.run, n.followPolicy, n.sweep,
 	} {
@@ -292,6 +332,21 @@
 	}
 }
 
+// announcements returns the handler of what the upstream says about itself.
+func (n *Node) announcements() http.Handler {
+	if n.parts.announcements != nil {
+		return n.parts.announcements(n.registry)
+	}
+	return upstream.NewAnnouncements(n.registry)
+}
+
+// serveReady answers whether callers should send their calls here.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ready, reason := n.Ready(n.now()); !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
+
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	n.tomb.Go(func() error { return ignoreClosed(server.Serve(l), n.tomb) })
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -40,6 +40,7 @@
 	membership    *membershipController
 	configuration *configurationController
 	seeds         *seedBook
+	authoritative bool // The source alone confirms the version.
 	now           func() time.Time
 	logger        *log.Logger
 
@@ -136,6 +137,12 @@
 // platform is enough where no peer is known, and peers are enough when the platform has been away for a while.
 func (s *starter) confirm(ctx context.Context, waited time.Duration) string {
 	head, platformErr := s.configuration.loadHead(ctx, false)
+	if platformErr == nil && s.authoritative {
+		platformErr = s.configuration.confirmHead(ctx, head)
+	}
+	if platformErr == nil && s.authoritative && s.configuration.board.Version().Number() > 0 {
+		return ""
+	}
 	asked, answered := s.askPeers(ctx)
 	if platformErr == nil && asked > 0 && answered == 0 && waited < withoutPlatform {
 		return "no peer has confirmed the version"
--- a/baobabnode/upstreamcontroller.go
+++ b/baobabnode/upstreamcontroller.go
@@ -22,6 +22,8 @@
 	registry   *upstream.Registry
 	gate       *admission.Gate
 	membership *membershipController
+	client     []upstream.ClientOption
+	probes     bool
 	now        func() time.Time
 	logger     *log.Logger
 
@@ -102,8 +104,11 @@
 		old.Client().Close()
 	}
 	evidence := upstream.NewEvidence()
-	c.prober = upstream.NewProber(a.Address(), func(h upstream.Hint) { evidence.Probe(h.Healthy()) })
-	return upstream.NewClient(a.Address(), a.Connections()), evidence
+	if c.probes {
+		c.prober = upstream.NewProber(a.Address(), func(h upstream.Hint) { evidence.Probe(h.Healthy()) })
+	}
+	options := append([]upstream.ClientOption{upstream.WithUpstreamID(a.UpstreamID())}, c.client...)
+	return upstream.NewClient(a.Address(), a.Connections(), options...), evidence
 }
 
 func (c *upstreamController) stopProber() {
--- a/baobabnode/wiring.go
+++ b/baobabnode/wiring.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
@@ -21,6 +23,9 @@
 
 // credentialsOf returns the credentials of peer links.
 func credentialsOf(p settings.Peers) (peer.Credentials, error) {
+	if p.ByNetwork() {
+		return peer.Unauthenticated{}, nil
+	}
 	if p.Certificate() != nil {
 		return peer.NewCertificates(*p.Certificate(), p.Authorities(), certificateName), nil
 	}
@@ -31,6 +36,15 @@
 	return key, nil
 }
 
+// operatorToken returns the token that operators must send. Without one in the settings it is a random one that nobody
+// knows, so that only metrics and health are served.
+func operatorToken(o settings.Operator) string {
+	if o.Token() == "" {
+		return rand.Text()
+	}
+	return o.Token()
+}
+
 // dialFrom returns a dial function that binds the own IP address, so that other nodes and the network see from which
 // VM a link comes.
 func dialFrom(own netip.AddrPort) func(context.Context, string) (net.Conn, error) {
@@ -61,7 +75,7 @@
 	}
 	document := f.Snapshot().Document()
 	for _, r := range document.Routes() {
-		if r.Service() != u.Service() {
+		if !slices.Contains(r.Services(), u.Service()) {
 			continue
 		}
 		if p, ok := document.Policy(r.Policy()); ok {
--- a/baobabplatform/error.go
+++ b/baobabplatform/error.go
@@ -13,6 +13,8 @@
 const (
 	// KindConflict means that a condition did not hold and nothing was applied.
 	KindConflict Kind = "conflict"
+	// KindGone means that the history that was asked for is no longer kept.
+	KindGone Kind = "gone"
 	// KindInvalid means that the request exceeds a limit or the platform does not accept it; nothing was applied.
 	KindInvalid Kind = "invalid"
 	// KindNotFound means that the object does not exist.
--- a/baobabrelease/head.go
+++ b/baobabrelease/head.go
@@ -21,6 +21,11 @@
 	revision   uint64    // Revision of the head row; 0 before the first accept.
 }
 
+// NewHead returns the head of a version that was not accepted through a Book, at a revision of the row that holds it.
+func NewHead(v configuration.Version, revision uint64) Head {
+	return Head{version: v, revision: revision}
+}
+
 // headJSON is the value of the head row and of operation rows.
 type headJSON struct {
 	Number     uint64               `json:"number"`
@@ -59,3 +64,6 @@
 
 // AcceptedAt returns the time of the accept by the clock of the accepting node.
 func (h Head) AcceptedAt() time.Time { return h.acceptedAt }
+
+// Revision returns the revision of the row that holds the head, or 0 before the first accept.
+func (h Head) Revision() uint64 { return h.revision }
--- a/baobabsettings/listen.go
+++ b/baobabsettings/listen.go
@@ -8,6 +8,7 @@
 	peer     netip.AddrPort
 	operator netip.AddrPort
 	announce netip.AddrPort
+	ready    netip.AddrPort // Zero: readiness is only at the operators' address.
 
 	advertise netip.AddrPort // What other nodes dial; the peer address unless set.
 }
@@ -19,6 +20,7 @@
 		operator: r.address("listen", "operator_address"),
 		announce: r.address("listen", "announce_address"),
 	}
+	l.ready = r.optionalAddress("listen", "ready_address", netip.AddrPort{})
 	l.advertise = r.optionalAddress("listen", "peer_advertise_address", l.peer)
 	if l.advertise.IsValid() && l.advertise.Addr().IsUnspecified() {
 		r.problem("listen", "peer_address", "%s is not an address that other nodes can dial", l.advertise)
@@ -37,6 +39,7 @@
 		{"entry_address", l.entry},
 		{"operator_address", l.operator},
 		{"peer_address", l.peer},
+		{"ready_address", l.ready},
 	} {
 		if first, ok := keys[e.address]; ok && e.address.IsValid() {
 			r.problem("listen", e.key, "%s is also %s", e.address, first)
@@ -57,5 +60,8 @@
 // Announce returns the address for announcements of the local upstream.
 func (l Listen) Announce() netip.AddrPort { return l.announce }
 
+// Ready returns the address that answers only whether the node is ready, or a zero address.
+func (l Listen) Ready() netip.AddrPort { return l.ready }
+
 // PeerAdvertise returns the address that other nodes dial.
 func (l Listen) PeerAdvertise() netip.AddrPort { return l.advertise }
--- a/baobabsettings/peers.go
+++ b/baobabsettings/peers.go
@@ -8,7 +8,14 @@
 	"time"
 )
 
-// Peers says how other nodes are found and authenticated. Either the key or the TLS material is set.
+// Values of the key authentication.
+const (
+	peersBySecret  = "secret"
+	peersByNetwork = "network"
+)
+
+// Peers says how other nodes are found and authenticated. The key or the TLS material is set, or neither when the
+// network lets only nodes through.
 type Peers struct {
 	seeds       []netip.AddrPort // Sorted; may be empty.
 	key         []byte           // Shared by all nodes; nil with TLS.
@@ -16,6 +23,7 @@
 	authorities *x509.CertPool   // Nil with a key.
 	idleTimeout time.Duration
 	maxLinks    int
+	keepAlive   time.Duration
 }
 
 func readPeers(r *reader) Peers {
@@ -23,8 +31,11 @@
 		seeds:       r.addresses("peers", "seeds"),
 		idleTimeout: r.duration("peers", "idle_timeout", 20*time.Second, time.Second, 24*time.Hour),
 		maxLinks:    r.integer("peers", "max_links", 1024, 1, 1<<16),
+		keepAlive:   r.duration("peers", "keep_alive", time.Second, 50*time.Millisecond, time.Minute),
+	}
+	if r.choice("peers", "authentication", peersBySecret, peersBySecret, peersByNetwork) == peersBySecret {
+		p.readCredentials(r)
 	}
-	p.readCredentials(r)
 	return p
 }
 
@@ -96,6 +107,9 @@
 // Key returns a copy of the shared key, or nil with TLS.
 func (p Peers) Key() []byte { return slices.Clone(p.key) }
 
+// ByNetwork reports whether every process that the network lets through is taken for a node.
+func (p Peers) ByNetwork() bool { return p.key == nil && p.certificate == nil }
+
 // Certificate returns the certificate of this node, or nil with a key.
 func (p Peers) Certificate() *tls.Certificate { return p.certificate }
 
@@ -107,3 +121,7 @@
 
 // MaxLinks returns the largest number of open links.
 func (p Peers) MaxLinks() int { return p.maxLinks }
+
+// KeepAlive returns the time without traffic after which a link sends a sign of life. A link that is silent for three of
+// them is closed.
+func (p Peers) KeepAlive() time.Duration { return p.keepAlive }
--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -22,6 +22,7 @@
 	claim      Claim
 	membership Membership
 	shutdown   Shutdown
+	upstream   Upstream
 	log        Log
 }
 
@@ -55,6 +56,7 @@
 		claim:      readClaim(r),
 		membership: readMembership(r),
 		shutdown:   readShutdown(r),
+		upstream:   readUpstream(r),
 		log:        readLog(r),
 	}
 	r.reportUnknown()
@@ -94,5 +96,8 @@
 // Shutdown returns the time limits of a graceful stop.
 func (s *Settings) Shutdown() Shutdown { return s.shutdown }
 
+// Upstream returns what is known in advance about the upstream on the VM.
+func (s *Settings) Upstream() Upstream { return s.upstream }
+
 // Log returns the level and the format of log lines.
 func (s *Settings) Log() Log { return s.log }
--- a/baobabupstream/announcement.go
+++ b/baobabupstream/announcement.go
@@ -24,7 +24,38 @@
 	connections int    // Connections that the upstream accepts.
 	labels      map[string]string
 	state       State
-	startedAt   time.Time // On the node's clock.
+	startedAt   time.Time // On the node's clock, or on the upstream's where that is what it tells; zero: not known.
+	sequence    uint64    // Grows with each announcement of a process; 0: not known.
+}
+
+// AnnouncementOption sets an optional property of an Announcement.
+type AnnouncementOption func(*Announcement)
+
+// WithSequence sets the number that grows with each announcement of a process, so that a late one is recognized.
+func WithSequence(n uint64) AnnouncementOption { return func(a *Announcement) { a.sequence = n } }
+
+// WithStart sets when the upstream started.
+func WithStart(t time.Time) AnnouncementOption { return func(a *Announcement) { a.startedAt = t } }
+
+// WithState sets the state; the default is StateReady.
+func WithState(s State) AnnouncementOption { return func(a *Announcement) { a.state = s } }
+
+// NewAnnouncement returns an announcement of an upstream with slots calls at the same time and a number of
+// connections. Errors have KindInvalid.
+func NewAnnouncement(upstreamID, service, address string, slots, connections int, options ...AnnouncementOption) (Announcement, error) {
+	a := Announcement{
+		upstreamID: upstreamID, service: service, address: address, slots: slots, connections: connections, state: StateReady,
+	}
+	for _, o := range options {
+		o(&a)
+	}
+	j := announcementJSON{
+		UpstreamID: upstreamID, Service: service, Address: address, Slots: slots, Connections: connections, State: a.state,
+	}
+	if problem := j.problem(); problem != "" {
+		return Announcement{}, newError("new announcement", KindInvalid, "%s", problem)
+	}
+	return a, nil
 }
 
 // announcementJSON is the wire form of an Announcement.
--- a/baobabupstream/announcements.go
+++ b/baobabupstream/announcements.go
@@ -58,7 +58,7 @@
 		return http.StatusInternalServerError
 	}
 	switch e.Kind() {
-	case KindConflict:
+	case KindConflict, KindLate:
 		return http.StatusConflict
 	case KindGone:
 		return http.StatusGone
--- a/baobabupstream/client.go
+++ b/baobabupstream/client.go
@@ -10,22 +10,12 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	call "github.com/baobabdale/baobabdale/baobabcall"
 )
 
-// Header fields between the mesh and upstreams.
-const (
-	headerCallID         = "Baobab-Call-Id"
-	headerCaller         = "Baobab-Caller"
-	headerIdempotencyKey = "Idempotency-Key"
-	headerNotStarted     = "Baobab-Not-Started"
-	headerRank           = "Baobab-Rank"
-	headerRetried        = "Baobab-Retried"
-	headerTimeout        = "Baobab-Timeout-Ms"
-)
-
 const (
 	// probeConnections of the upstream's connections are kept for the prober.
 	probeConnections = 1
@@ -46,12 +36,33 @@
 // A Client hands calls to one upstream over at most as many connections as it accepts. It never sends a call twice.
 // It is safe for concurrent use.
 type Client struct {
-	address   string
-	transport *http.Transport
+	address        string
+	upstreamID     string // Sent with each call where the field has a name.
+	fields         call.Fields
+	echoed         bool // Upstreams return the id of the call with each answer.
+	closeDelimited bool // An answer without a length that ends with a closed connection is complete.
+	transport      *http.Transport
 }
 
+// ClientOption sets an optional property of a Client.
+type ClientOption func(*Client)
+
+// WithFields replaces the names of the header fields.
+func WithFields(f call.Fields) ClientOption { return func(c *Client) { c.fields = f } }
+
+// WithUpstreamID names the process that the client means, so that another one at the same address refuses the call.
+func WithUpstreamID(id string) ClientOption { return func(c *Client) { c.upstreamID = id } }
+
+// WithEchoedIDs takes an answer with another id than that of the call for the answer to another call. Without it only
+// ids of earlier calls on the same connection count.
+func WithEchoedIDs() ClientOption { return func(c *Client) { c.echoed = true } }
+
+// WithCloseDelimited takes an answer without a length as complete when the upstream closes the connection. Without it
+// such an answer counts as truncated, because a lost end looks the same where the network may close connections.
+func WithCloseDelimited() ClientOption { return func(c *Client) { c.closeDelimited = true } }
+
 // NewClient returns a client for the upstream at address, which accepts the given number of connections.
-func NewClient(address string, connections int) *Client {
+func NewClient(address string, connections int, options ...ClientOption) *Client {
 	limit := max(connections-probeConnections, 1)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -61,7 +72,7 @@
 		}
 		return &connection{Conn: conn}, nil
 	}
-	return &Client{address: address, transport: &http.Transport{
+	c := &Client{address: address, fields: call.DefaultFields(), transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleConnectionLimit,
@@ -70,6 +81,10 @@
 		MaxIdleConns:           limit,
 		MaxResponseHeaderBytes: maxAnswerHeader,
 	}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Close closes idle connections. Calls in progress end normally.
@@ -83,11 +98,10 @@
 	if remaining <= 0 {
 		return DeadlineReached{}
 	}
-	target, err := url.ParseRequestURI(k.Target())
+	target, err := c.target(k)
 	if err != nil {
 		return NotSent{err: err}
 	}
-	target.Scheme, target.Host = "http", c.address
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	start := time.Now()
 	for range staleAttempts {
@@ -100,10 +114,24 @@
 	return NotSent{err: errStaleClosed}
 }
 
+// target returns where the call goes. The opaque form is sent as it is; encoding the parsed path again could change it.
+func (c *Client) target(k *call.Call) (*url.URL, error) {
+	u, err := url.ParseRequestURI(k.Target())
+	if err != nil {
+		return nil, err
+	}
+	if !strings.HasPrefix(k.Target(), "//") {
+		// The library would take what follows two slashes for a host.
+		u = &url.URL{Opaque: k.Target()}
+	}
+	u.Scheme, u.Host = "http", c.address
+	return u, nil
+}
+
 // send makes one attempt. It reports stale when an idle connection turned out to be closed before any byte was sent.
 func (c *Client) send(ctx context.Context, cancel context.CancelFunc, k *call.Call, target *url.URL, remaining time.Duration) (result Result, stale bool) {
 	a := &attempt{callID: k.ID()}
-	request := newRequest(httptrace.WithClientTrace(ctx, a.trace()), k, target, remaining)
+	request := c.newRequest(httptrace.WithClientTrace(ctx, a.trace()), k, target, remaining)
 	response, err := c.transport.RoundTrip(request) //nolint:bodyclose // The reader of the answer closes it.
 	if err != nil {
 		sent := a.sent()
@@ -114,7 +142,7 @@
 		cancel()
 		return result, false
 	}
-	return accepted(ctx, cancel, response, a), false
+	return c.accepted(ctx, cancel, response, a), false
 }
 
 func failed(ctx context.Context, err error, sent, reused bool) Result {
@@ -141,14 +169,14 @@
 }
 
 // accepted classifies a response whose header has arrived.
-func accepted(ctx context.Context, cancel context.CancelFunc, response *http.Response, a *attempt) Result {
-	body := &answerBody{body: response.Body, ctx: ctx, cancel: cancel, unbounded: endsWithConnection(response)}
-	if err := violation(response, a); err != nil {
+func (c *Client) accepted(ctx context.Context, cancel context.CancelFunc, response *http.Response, a *attempt) Result {
+	body := &answerBody{body: response.Body, ctx: ctx, cancel: cancel, unbounded: !c.closeDelimited && endsWithConnection(response)}
+	if err := c.violation(response, a); err != nil {
 		a.sent()
 		_ = body.Close()
 		return Died{err: err, reused: a.onReusedConnection()}
 	}
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerNotStarted) == "1" {
+	if c.notStarted(response) {
 		// The rest is read so that the connection can be used again.
 		_, _ = io.CopyN(io.Discard, body, refusalBytes)
 		_ = body.Close()
@@ -157,14 +185,24 @@
 	return &Answered{answer: call.NewAnswer(response.StatusCode, response.Header, body), body: body}
 }
 
+// notStarted reports whether the upstream says that it did not start the call. One that is not the process that the
+// call names has not started it either.
+func (c *Client) notStarted(response *http.Response) bool {
+	if c.upstreamID != "" && c.fields.Name(call.FieldUpstreamID) != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(c.fields.Name(call.FieldNotStarted)) == "1"
+}
+
 // violation returns why the response cannot be the answer to the call, or nil.
-func violation(response *http.Response, a *attempt) error {
+func (c *Client) violation(response *http.Response, a *attempt) error {
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errSwitch
 	}
 	// An upstream that sends two answers to one request leaves the second on the connection for the next call.
 	// Only ids of this connection count, because an upstream may pass on the header of a call that it made itself.
-	if a.crossed(response.Header.Get(headerCallID)) {
+	id := response.Header.Get(c.fields.Name(call.FieldCallID))
+	if a.crossed(id) || c.echoed && id != "" && id != a.callID {
 		return errCrossed
 	}
 	return nil
@@ -183,7 +221,7 @@
 	return time.Duration(s) * time.Second
 }
 
-func newRequest(ctx context.Context, k *call.Call, target *url.URL, remaining time.Duration) *http.Request {
+func (c *Client) newRequest(ctx context.Context, k *call.Call, target *url.URL, remaining time.Duration) *http.Request {
 	request := &http.Request{
 		Method:        k.Method(),
 		URL:           target,
@@ -191,28 +229,30 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        requestHeader(k, remaining),
+		Header:        c.requestHeader(k, remaining),
 		Body:          requestBody{r: bytes.NewReader(k.Body())},
 		ContentLength: int64(len(k.Body())),
 	}
 	return request.WithContext(ctx)
 }
 
-func requestHeader(k *call.Call, remaining time.Duration) http.Header {
+func (c *Client) requestHeader(k *call.Call, remaining time.Duration) http.Header {
 	h := k.Header().Clone()
 	if h == nil {
 		h = http.Header{}
 	}
-	h.Set(headerCallID, k.ID())
-	h.Set(headerCaller, k.Caller())
+	c.set(h, call.FieldCallID, k.ID())
+	c.set(h, call.FieldCaller, k.Caller())
 	// Rounded up, because zero would mean no time at all.
-	h.Set(headerTimeout, strconv.FormatInt(int64((remaining+time.Millisecond-1)/time.Millisecond), 10))
-	setOrDelete(h, headerRank, k.Rank())
-	setOrDelete(h, headerIdempotencyKey, k.IdempotencyKey())
-	h.Del(headerRetried)
+	c.set(h, call.FieldTimeout, strconv.FormatInt(int64((remaining+time.Millisecond-1)/time.Millisecond), 10))
+	c.set(h, call.FieldRank, k.Rank())
+	c.set(h, call.FieldIdempotencyKey, k.IdempotencyKey())
+	c.set(h, call.FieldUpstreamID, c.upstreamID)
+	retried := ""
 	if k.Retried() {
-		h.Set(headerRetried, "1")
+		retried = "1"
 	}
+	c.set(h, call.FieldRetried, retried)
 	if _, ok := h["User-Agent"]; !ok {
 		// An explicit empty value keeps the library from adding its own.
 		h.Set("User-Agent", "")
@@ -220,10 +260,14 @@
 	return h
 }
 
-func setOrDelete(h http.Header, name, value string) {
-	if value == "" {
-		h.Del(name)
-		return
+// set sets or deletes a field that has a name.
+func (c *Client) set(h http.Header, field call.Field, value string) {
+	name := c.fields.Name(field)
+	switch {
+	case name == "":
+	case value == "":
+		delete(h, name)
+	default:
+		h[name] = []string{value}
 	}
-	h.Set(name, value)
 }
--- a/baobabupstream/error.go
+++ b/baobabupstream/error.go
@@ -10,6 +10,7 @@
 	KindInvalid  Kind = "invalid"  // The announcement is malformed.
 	KindConflict Kind = "conflict" // Another upstream is announced and alive.
 	KindGone     Kind = "gone"     // The upstream has left; only a later start may announce it again.
+	KindLate     Kind = "late"     // A later announcement of the same process has arrived before.
 )
 
 // An Error is the error type of this package.
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -19,12 +19,13 @@
 	heartbeatLimit time.Duration
 	changed        chan struct{}
 
-	mu       sync.Mutex
-	current  Announcement
-	state    State // Empty: nothing is announced.
-	heardAt  time.Time
-	leftID   string // The upstream that left last; its late heartbeats are refused.
-	leftTime time.Time
+	mu        sync.Mutex
+	current   Announcement
+	state     State // Empty: nothing is announced.
+	heardAt   time.Time
+	leftID    string // The upstream that left last; its late heartbeats are refused.
+	leftTime  time.Time
+	leftStart time.Time // When it had started; zero: not known.
 }
 
 // RegistryOption sets an optional property of a Registry.
@@ -47,14 +48,20 @@
 // Changed receives a value after the announcement or the state has changed. Several changes may give one value.
 func (r *Registry) Changed() <-chan struct{} { return r.changed }
 
-// Announce takes an announcement or heartbeat. Errors have KindConflict or KindGone.
+// Announce takes an announcement or heartbeat. Errors have KindConflict, KindGone or KindLate.
 func (r *Registry) Announce(now time.Time, a Announcement) error {
 	const operation = "announce upstream"
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a.upstreamID == r.leftID && !a.startedAt.After(r.leftTime) {
+	if a.upstreamID == r.leftID && !r.startedAfterLeaving(a) {
 		return newError(operation, KindGone, "upstream %s has left", a.upstreamID)
 	}
+	if r.replaced(a) {
+		return newError(operation, KindGone, "upstream %s was replaced by a process that started later", a.upstreamID)
+	}
+	if r.sameProcess(a) && a.sequence > 0 && a.sequence <= r.current.sequence {
+		return newError(operation, KindLate, "announcement %d came after announcement %d", a.sequence, r.current.sequence)
+	}
 	if r.heldByOther(now, a) {
 		return newError(operation, KindConflict, "upstream %s is announced and alive", r.current.upstreamID)
 	}
@@ -69,6 +76,25 @@
 	return nil
 }
 
+// startedAfterLeaving reports whether an announcement under the id that left last comes from a later process. Where the
+// start of the one that left is known, the two starts are compared, because the node's clock may differ from that of the
+// upstream.
+func (r *Registry) startedAfterLeaving(a Announcement) bool {
+	if !r.leftStart.IsZero() {
+		return a.startedAt.Sub(r.leftStart) >= startJitter
+	}
+	return a.startedAt.After(r.leftTime)
+}
+
+// replaced reports whether a later process than that of a is announced under its id or at its address.
+func (r *Registry) replaced(a Announcement) bool {
+	if r.state == "" || a.startedAt.IsZero() {
+		return false
+	}
+	same := a.upstreamID == r.current.upstreamID || a.address == r.current.address
+	return same && r.current.startedAt.Sub(a.startedAt) >= startJitter
+}
+
 // heldByOther reports whether a live upstream other than a is announced. An upstream at the same address has
 // replaced the former one, because two processes cannot listen there.
 func (r *Registry) heldByOther(now time.Time, a Announcement) bool {
@@ -88,9 +114,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state == "" || r.current.upstreamID != upstreamID {
+		if r.state == "" {
+			// This node has started after the upstream and has not heard of it yet.
+			r.leftID, r.leftTime, r.leftStart = upstreamID, now, time.Time{}
+		}
 		return false
 	}
-	r.leftID, r.leftTime = upstreamID, now
+	r.leftID, r.leftTime, r.leftStart = upstreamID, now, r.current.startedAt
 	r.current, r.state = Announcement{}, ""
 	r.notify()
 	return true
