node: an upstream that leaves without draining gets no more calls

Ruled out: a late acknowledgement (the call is answered at once) and a slow controller (other changes take 2 ms).

Change: the controller retires the upstream: it drains at the gate and in the member record.

Conclusion: a fault of the product that its own stand-ins never showed, because they drain first.

--- a/baobabblackboard/upstream.go
+++ b/baobabblackboard/upstream.go
@@ -19,6 +19,9 @@
 	return &Upstream{announcement: a, state: state, client: client, evidence: evidence}
 }
 
+// Announcement returns what the upstream last said about itself.
+func (u *Upstream) Announcement() upstream.Announcement { return u.announcement }
+
 // ID returns the id of the upstream process.
 func (u *Upstream) ID() string { return u.announcement.UpstreamID() }
 
--- a/baobabnode/upstreamcontroller.go
+++ b/baobabnode/upstreamcontroller.go
@@ -52,11 +52,19 @@
 func (c *upstreamController) update() {
 	a, state, ok := c.registry.Current()
 	if !ok {
+		c.retire()
 		return
 	}
 	c.set(a, state)
 }
 
+// retire stops the calls to an upstream that has left without draining first. Calls in progress go on.
+func (c *upstreamController) retire() {
+	if u := c.board.Upstream(); u != nil && u.TakesCalls() {
+		c.set(u.Announcement(), upstream.StateDraining)
+	}
+}
+
 // checkEvidence fails an upstream that live calls or probes have found unusable, and brings it back.
 func (c *upstreamController) checkEvidence() {
 	u := c.board.Upstream()
