--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -20,6 +20,7 @@
 	counters *counters
 	wait     waitMeter
 	inFlight int
+	running  map[string]int // Permits held, by kind.
 	draining bool
 	idle     chan struct{} // Closed once when draining and nothing is in flight.
 }
@@ -30,6 +31,7 @@
 		queue:    NewQueue(NewPolicy(nil, 0, 0)),
 		limiter:  NewLimiter(defaultWarmUp, defaultWarmUpFraction),
 		counters: newCounters(),
+		running:  map[string]int{},
 		idle:     make(chan struct{}),
 	}
 	for _, o := range options {
@@ -88,7 +90,8 @@
 	if ctx.Err() != nil {
 		return nil, g.refuse(r, abandonedRefusal(ctx))
 	}
-	s := NewService(g.limiter.Limit(now), g.inFlight, g.limiter.Latency(), g.limiter.Shortest(r.kind))
+	s := NewService(g.limiter.Limit(now), g.inFlight, g.limiter.Latency(), g.limiter.Shortest(r.kind)).
+		WithExpected(g.limiter.Expected(r.kind))
 	e, drops, refusal := g.queue.Offer(now, r, s)
 	if refusal != nil {
 		return nil, g.refuse(r, refusal)
@@ -110,13 +113,14 @@
 
 // dispatch grants permits up to the limit.
 func (g *Gate) dispatch(now time.Time) {
-	for g.inFlight < g.limiter.Limit(now) {
-		e, drops := g.queue.Next(now)
+	for limit := g.limiter.Limit(now); g.inFlight < limit; {
+		e, drops := g.queue.NextWithin(now, NewRoom(limit-g.inFlight, g.inFlight, g.nextRelease()))
 		g.dropAll(drops)
 		if e == nil {
 			return
 		}
 		g.inFlight++
+		g.running[e.request.kind]++
 		wait := max(0, now.Sub(e.since))
 		g.wait.note(now, wait)
 		g.counters.grant(g.rankName(e.request))
@@ -124,6 +128,20 @@
 	}
 }
 
+// nextRelease returns the mean time until one of the running calls ends, or zero when no latency is known.
+func (g *Gate) nextRelease() time.Duration {
+	rate := 0.0
+	for kind, n := range g.running {
+		if d := g.limiter.Expected(kind); d > 0 {
+			rate += float64(n) / d.Seconds()
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
 func (g *Gate) dropAll(drops []Drop) {
 	for _, d := range drops {
 		d.entry.waiter.refuse(g.refuse(d.entry.request, d.refusal))
@@ -151,6 +169,9 @@
 	p.released = true
 	g.limiter.Record(now, p.kind, now.Sub(p.since), o, g.inFlight)
 	g.inFlight--
+	if g.running[p.kind]--; g.running[p.kind] <= 0 {
+		delete(g.running, p.kind)
+	}
 	g.dispatch(now)
 	g.closeIfIdle()
 }
--- a/baobabadmission/limiter.go
+++ b/baobabadmission/limiter.go
@@ -87,8 +87,9 @@
 	connections int       // Upper bound of the limit, at least 1.
 	started     time.Time // When the upstream started; zero means long ago.
 
-	limit    float64 // At least 1, at most connections.
-	latency  float64 // Recent mean latency of successes in seconds; zero when not measured.
+	limit    float64            // At least 1, at most connections.
+	latency  float64            // Recent mean latency of successes in seconds; zero when not measured.
+	kinds    map[string]float64 // Likewise by kind, for at most maxKinds kinds.
 	baseline *baseline
 
 	changed     time.Time // Calls sent before this time say nothing about the present limit.
@@ -124,6 +125,7 @@
 		slots:          1,
 		connections:    1,
 		limit:          1,
+		kinds:          map[string]float64{},
 		baseline:       newBaseline(),
 	}
 }
@@ -135,6 +137,7 @@
 	if !started.Equal(l.started) {
 		l.baseline = newBaseline()
 		l.latency = 0
+		clear(l.kinds)
 	}
 	if !started.Equal(l.started) || slots != l.slots {
 		l.pause, l.confirm, l.confirming = 0, 0, false
@@ -166,6 +169,26 @@
 	return time.Duration(l.latency * float64(time.Second))
 }
 
+// Expected returns the recent mean latency of successful calls of a kind, or of all where none of the kind was measured.
+func (l *Limiter) Expected(kind string) time.Duration {
+	if v, ok := l.kinds[kind]; ok {
+		return time.Duration(v * float64(time.Second))
+	}
+	return l.Latency()
+}
+
+// noteKind takes a latency into the mean of its kind.
+func (l *Limiter) noteKind(kind string, latency time.Duration) {
+	old, ok := l.kinds[kind]
+	if !ok {
+		if len(l.kinds) < maxKinds {
+			l.kinds[kind] = latency.Seconds()
+		}
+		return
+	}
+	l.kinds[kind] = old + latencyWeight*(latency.Seconds()-old)
+}
+
 // Shortest returns the least time that a call of the kind is known to need, or zero.
 func (l *Limiter) Shortest(kind string) time.Duration {
 	return time.Duration(float64(l.baseline.lowest(kind)) * shortestShare)
@@ -197,6 +220,7 @@
 		l.latency = latency.Seconds()
 	}
 	l.latency += latencyWeight * (latency.Seconds() - l.latency)
+	l.noteKind(kind, latency)
 	if now.Add(-latency).Before(l.changed) || now.Before(l.settled) {
 		return
 	}
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -117,7 +117,7 @@
 	}
 	// Half the target leaves room for the variation of service; with the whole target less the mean latency half
 	// of the answers were late. An upstream slower than the target must not stop all work.
-	if wait <= max(min(target/2, target-s.latency), target/4) {
+	if wait <= max(min(target/2, target-s.expected), target/4) {
 		return nil
 	}
 	const detail = "rank is overloaded and the estimated wait exceeds its target"
@@ -191,9 +191,21 @@
 // Next takes out the entry that gets the next permit, or nil when none waits. Entries whose deadline leaves less
 // time than their shortest service are dropped on the way.
 func (q *Queue) Next(now time.Time) (*Entry, []Drop) {
+	return q.NextWithin(now, unreserved)
+}
+
+// unreserved is a room in which no slot is kept free.
+var unreserved = Room{}
+
+// NextWithin is Next for an upstream with some room: a rank whose next grant would leave a more urgent one that is active
+// to wait too long for a slot gets none.
+func (q *Queue) NextWithin(now time.Time, room Room) (*Entry, []Drop) {
 	var drops []Drop
 	for q.length > 0 {
-		rank := q.pick()
+		rank := q.pick(now, room)
+		if rank < 0 {
+			return nil, drops
+		}
 		e := q.ranks[rank].pop()
 		q.length--
 		if refusal := late(e, now, e.shortest); refusal != nil {
@@ -220,11 +232,11 @@
 }
 
 // pick returns the rank that is served next: of those whose floor is due the one with the highest credit, else
-// the most urgent. The queue must not be empty.
-func (q *Queue) pick() int {
+// the most urgent. It returns -1 when the free slots are kept for ranks that do not wait now.
+func (q *Queue) pick(now time.Time, room Room) int {
 	best := -1
 	for i, r := range q.ranks {
-		if r.length == 0 {
+		if r.length == 0 || room.last() && q.keeps(now, i, room) {
 			continue
 		}
 		if best < 0 {
@@ -239,6 +251,21 @@
 	return best
 }
 
+// keeps reports whether the last free slot is kept from a rank: when a more urgent rank is active and would wait longer
+// than a share of its target for the next slot that the running calls give back.
+func (q *Queue) keeps(now time.Time, rank int, room Room) bool {
+	for i := range rank {
+		target := q.policy.ranks[i].target
+		if target <= 0 || q.ranks[i].grantRate(now) < activeRate {
+			continue
+		}
+		if room.release > time.Duration(keptShare*float64(target)) {
+			return true
+		}
+	}
+	return false
+}
+
 // creditAfter returns the credit of a waiting rank with its share of the grant that is about to be made.
 func (q *Queue) creditAfter(rank int) float64 {
 	// The sum of many shares falls short of 1 by rounding.
--- a/baobabcall/refusal.go
+++ b/baobabcall/refusal.go
@@ -30,6 +30,7 @@
 	ReasonRetryBudget         Reason = "retry_budget"
 	ReasonStoreUnavailable    Reason = "store_unavailable"
 	ReasonUpstreamFailed      Reason = "upstream_failed"
+	ReasonUpstreamShed        Reason = "upstream_shed"
 	ReasonUpstreamUnavailable Reason = "upstream_unavailable"
 )
 
@@ -39,7 +40,8 @@
 		ReasonAnswerLost, ReasonCallerShare, ReasonDeadlinePassed, ReasonDeadlineUnmeetable, ReasonDraining,
 		ReasonInProgress, ReasonKeyRequired, ReasonKeyReused, ReasonMalformed, ReasonNoRoute, ReasonNoUpstream,
 		ReasonNotReady, ReasonOverSize, ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull,
-		ReasonRetryBudget, ReasonStoreUnavailable, ReasonUpstreamFailed, ReasonUpstreamUnavailable,
+		ReasonRetryBudget, ReasonStoreUnavailable, ReasonUpstreamFailed, ReasonUpstreamShed,
+		ReasonUpstreamUnavailable,
 	}
 }
 
@@ -76,7 +78,7 @@
 	switch r {
 	case ReasonCallerShare, ReasonDeadlineUnmeetable, ReasonDraining, ReasonInProgress, ReasonNoUpstream, ReasonNotReady,
 		ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull, ReasonRetryBudget, ReasonStoreUnavailable,
-		ReasonUpstreamUnavailable:
+		ReasonUpstreamShed, ReasonUpstreamUnavailable:
 		return true
 	default:
 		return false
--- a/baobabcommand/memory.go
+++ b/baobabcommand/memory.go
@@ -4,23 +4,21 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+
+	"github.com/baobabdale/baobabdale/baobabsettings"
 )
 
 const (
-	// gcPercent lets the heap grow to five times the live heap between collections. A node's live heap is a few
-	// MiB, so that with the default of 100 it collects many times a second under load.
-	gcPercent = 400
-	// memoryLimitBytes makes collections more frequent when the heap grows, so that a node of a large mesh stays
-	// within its 32 MB: the program itself takes 13 MB of them.
-	memoryLimitBytes = 16 << 20
 	// threadLimit bounds the threads that run Go code. A call wakes a dozen goroutines one after the other; with a thread
 	// for each of 10 cores, threads that look for work take 12 to 18% more processor time per call.
 	threadLimit = 2
 )
 
-// LimitResources sets the number of threads and the garbage collector for a node.
-func LimitResources() {
-	limitMemory()
+// LimitResources sets the number of threads and the garbage collector for a node. Collections become more frequent when
+// the heap reaches its size: with 16 MiB a node of a large mesh stays within its 32 MB, of which the program itself takes
+// 13 MB, but under load a live heap near the limit makes the collector run all the time.
+func LimitResources(l baobabsettings.Limits) {
+	limitMemory(l)
 	limitThreads()
 }
 
@@ -32,11 +30,11 @@
 }
 
 // limitMemory sets the garbage collector unless the environment does.
-func limitMemory() {
+func limitMemory(l baobabsettings.Limits) {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(l.HeapGrowth())
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimitBytes)
+		debug.SetMemoryLimit(l.HeapSize().Bytes())
 	}
 }
--- a/baobabcommand/noderun.go
+++ b/baobabcommand/noderun.go
@@ -10,7 +10,7 @@
 
 // RunNode runs a node until ctx ends, then stops it gracefully.
 func RunNode(ctx context.Context, s *baobabsettings.Settings) error {
-	LimitResources()
+	LimitResources(s.Limits())
 	n, err := baobabnode.New(s, NewLogger(os.Stderr, s.Log()))
 	if err != nil {
 		return err
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -146,7 +146,7 @@
 	case upstream.Refused:
 		permit.Release(a.now(), admission.OutcomeShed)
 		a.release(granted)
-		return nil, call.NewRefusal(call.ReasonUpstreamUnavailable, call.OutcomeNotRun, "the upstream shed the call").WithRetryAfter(t.RetryAfter())
+		return nil, call.NewRefusal(call.ReasonUpstreamShed, call.OutcomeNotRun, "the upstream shed the call").WithRetryAfter(t.RetryAfter())
 	case upstream.NotSent:
 		permit.Release(a.now(), admission.OutcomeFailed)
 		u.Evidence().Live(a.now(), false)
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -38,6 +38,7 @@
 	maxTimeout     time.Duration
 	now            func() time.Time
 	logger         *log.Logger
+	decisions      *decisionLog
 	randoms        sync.Pool // Of *rand.Rand, which is not safe for concurrent use.
 }
 
@@ -66,6 +67,8 @@
 func (g *Ingress) Serve(ctx context.Context, now time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
 	r, refusal := g.route(now, c)
 	if refusal != nil {
+		g.decisions.write(now, "call refused", "call", c.ID(), "reason", refusal.Reason(), "detail", refusal.Detail(),
+			"host", c.Host(), "target", c.Target(), "version", g.board.Version().Number())
 		return nil, refusal
 	}
 	return g.serve(ctx, r)
@@ -110,13 +113,14 @@
 	r.budget.Live(g.now())
 	tried := make(map[string]bool, r.maxAttempts)
 	var last *call.Refusal
+	reached := 0 // Attempts that may have reached an upstream.
 	for number := 1; ; number++ {
 		candidate, refusal := g.chooser.Choose(g.now(), random, r.set, func(id string) bool { return tried[id] })
 		if refusal != nil {
 			if last != nil {
-				return nil, last
+				refusal = last
 			}
-			return nil, refusal
+			return nil, g.refused(r, refusal, number-1, route.StopUseless)
 		}
 		tried[candidate.ID()] = true
 		end := g.attempt(ctx, r, candidate, number)
@@ -124,21 +128,37 @@
 			return end.answer, nil
 		}
 		last = weightier(last, end.refusal)
-		attempt := route.NewAttempt(number, r.maxAttempts, r.request.deadline, end.ending,
+		if route.Reached(end.ending) {
+			reached++
+		}
+		attempt := route.NewAttempt(reached, r.maxAttempts, r.request.deadline, end.ending, route.WithOffers(number),
 			route.WithIdempotent(r.request.idempotent), route.WithRetriedEarlier(r.request.call.Retried()))
 		switch d := route.DecideRetry(g.now(), attempt, r.budget).(type) {
 		case route.Retry:
 			g.counters.retried(d.Reason())
+			g.decisions.write(g.now(), "call sent again", "call", r.request.call.ID(), "service", r.request.service,
+				"member", candidate.ID(), "reason", d.Reason(), "refusal", end.refusal.Reason(), "detail", end.refusal.Detail(),
+				"attempt", number, "left", r.request.deadline.Sub(g.now()))
 		case route.Stop:
 			g.counters.stopped(d.Reason())
-			return nil, last
+			return nil, g.refused(r, last, number, d.Reason())
 		}
 		if ctx.Err() != nil {
-			return nil, last
+			return nil, g.refused(r, last, number, route.StopDeadline)
 		}
 	}
 }
 
+// refused writes down why a call ends without an answer, and returns the refusal.
+func (g *Ingress) refused(r *routedCall, refusal *call.Refusal, attempts int, stop route.StopReason) *call.Refusal {
+	now := g.now()
+	g.decisions.write(now, "call refused", "call", r.request.call.ID(), "service", r.request.service,
+		"rank", r.request.rank, "reason", refusal.Reason(), "outcome", refusal.Outcome(), "detail", refusal.Detail(),
+		"attempts", attempts, "stopped_by", stop, "retry_after", refusal.RetryAfter(), "left", r.request.deadline.Sub(now),
+		"endpoints", r.set.Len(), "version", g.board.Version().Number())
+	return refusal
+}
+
 // attempt hands the call to one endpoint and keeps the signals up to date until the answer has been read.
 func (g *Ingress) attempt(ctx context.Context, r *routedCall, candidate route.Candidate, number int) attemptEnd {
 	start := g.now()
@@ -267,10 +287,15 @@
 		}
 		return route.VerdictUnreachable
 	case route.Refused:
-		if end.refusal.Reason() == call.ReasonUpstreamUnavailable {
+		switch end.refusal.Reason() {
+		case call.ReasonUpstreamUnavailable:
 			return route.VerdictFailure
+		case call.ReasonUpstreamShed:
+			return route.VerdictRefused
+		default:
+			// The load that came with the refusal says how full the endpoint is.
+			return route.VerdictAbandoned
 		}
-		return route.VerdictRefused
 	default:
 		if ctx.Err() != nil {
 			return route.VerdictAbandoned
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -213,6 +213,7 @@
 		budgets: blackboard.NewMap[budgetKey, *route.Budget](), admitter: n.admitter,
 		remote: &remoteNodes{transport: n.transport, now: n.now}, self: n.members.self, ready: n.starter, counters: counters,
 		defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
+		decisions: newDecisionLog(n.logger, n.metrics),
 	}
 	handler := caller.NewHandler(ingress, append([]caller.Option{
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
--- a/baobabroute/budget.go
+++ b/baobabroute/budget.go
@@ -11,10 +11,13 @@
 	liveSeconds  = 10
 	retrySeconds = 11
 	defaultFloor = 3
+	// offerPercent is the share of live calls that may be offered to another node after one refused. An offer costs a
+	// message between nodes and no upstream anything.
+	offerPercent = 100
 )
 
-// A Budget bounds retries to a share of the live calls over the last 10 s, with a floor for low traffic. It is safe
-// for concurrent use.
+// A Budget bounds retries to a share of the live calls over the last 10 s, with a floor for low traffic. Offers to another
+// node after one that refused have a share of their own. It is safe for concurrent use.
 type Budget struct {
 	percent int
 	floor   int // Retries that are always allowed in 10 s.
@@ -23,6 +26,7 @@
 	second  int64 // Present second, Unix time; never goes back.
 	live    [retrySeconds]int
 	retries [retrySeconds]int
+	offers  [retrySeconds]int
 }
 
 // BudgetOption sets an optional property of a Budget.
@@ -50,17 +54,26 @@
 
 // Take takes one retry from the budget and reports whether it is allowed.
 func (b *Budget) Take(now time.Time) bool {
+	return b.take(now, &b.retries, b.percent)
+}
+
+// TakeOffer takes one offer after a refusal and reports whether it is allowed.
+func (b *Budget) TakeOffer(now time.Time) bool {
+	return b.take(now, &b.offers, offerPercent)
+}
+
+func (b *Budget) take(now time.Time, taken *[retrySeconds]int, percent int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	retries := 0
-	for _, n := range b.retries {
-		retries += n
+	sum := 0
+	for _, n := range taken {
+		sum += n
 	}
-	if retries >= max(b.floor, b.percent*b.liveCalls()/100) {
+	if sum >= max(b.floor, percent*b.liveCalls()/100) {
 		return false
 	}
-	b.retries[b.second%retrySeconds]++
+	taken[b.second%retrySeconds]++
 	return true
 }
 
@@ -82,7 +95,7 @@
 		return
 	}
 	for s := max(b.second+1, second-retrySeconds+1); s <= second; s++ {
-		b.live[s%retrySeconds], b.retries[s%retrySeconds] = 0, 0
+		b.live[s%retrySeconds], b.retries[s%retrySeconds], b.offers[s%retrySeconds] = 0, 0, 0
 	}
 	b.second = second
 }
--- a/baobabroute/chooser.go
+++ b/baobabroute/chooser.go
@@ -16,6 +16,8 @@
 	defaultWaitBound = 20 * time.Millisecond
 	// defaultPressureBound lets as many calls queue as run.
 	defaultPressureBound = 2.0
+	// standOutFactor is how many times the mean failure rate of the others an endpoint's own must be for its ejection.
+	standOutFactor = 2
 	// drawAttempts bounds random draws before the endpoints are searched in order.
 	drawAttempts = 4
 )
@@ -64,12 +66,28 @@
 // of a new ejection, or zero.
 func (c *Chooser) Finished(now time.Time, set *Set, id string, r Result) time.Duration {
 	state := c.signals.Finished(now, id, r)
-	if r.verdict != VerdictFailure || !state.suspect() {
+	if r.verdict != VerdictFailure || !state.suspect() || !c.standsOut(now, set, id, state) {
 		return 0
 	}
 	return c.ejections.Eject(now, set, id)
 }
 
+// standsOut reports whether an endpoint fails clearly more often than the others of its service. Where all fail alike, the
+// cause is behind them, for example a service that they call, and taking some out only adds load to the rest.
+func (c *Chooser) standsOut(now time.Time, set *Set, id string, state State) bool {
+	sum, known := 0.0, 0
+	for _, candidate := range set.candidates {
+		if candidate.id == id {
+			continue
+		}
+		if other := c.signals.State(now, candidate.id); other.ended > 0 {
+			sum += other.failureRate
+			known++
+		}
+	}
+	return known == 0 || state.failureRate >= standOutFactor*sum/float64(known)
+}
+
 // pick is a candidate with its state at the time of the choice.
 type pick struct {
 	index      int // In the set.
@@ -188,6 +206,6 @@
 		index:      i,
 		candidate:  candidate,
 		wait:       state.expectedWait(candidate.slots),
-		overloaded: state.wait > h.waitBound || state.pressure(candidate.slots) > h.pressureBound,
+		overloaded: state.wait > h.waitBound || state.pressure(candidate.slots) > h.pressureBound || state.failing(),
 	}, true
 }
--- a/baobabroute/retry.go
+++ b/baobabroute/retry.go
@@ -9,6 +9,10 @@
 // minRemaining is the time below which a retry cannot be answered: one exchange within a failure domain.
 const minRemaining = time.Millisecond
 
+// maxOffers bounds how often a call is offered to nodes, so that a call that all of them refuse does not cost each of a
+// large service's nodes a message.
+const maxOffers = 5
+
 // RetryReason names why a call is retried. Each has a counter.
 type RetryReason string
 
@@ -74,18 +78,43 @@
 	if _, ok := decision.(Stop); ok {
 		return decision
 	}
-	if a.number >= a.maxAttempts {
+	if a.number >= a.maxAttempts || a.offers >= maxOffers {
 		return Stop{StopMaxAttempts}
 	}
 	if !a.deadline.IsZero() && now.Add(minRemaining).After(a.deadline) {
 		return Stop{StopDeadline}
 	}
-	if !b.Take(now) {
+	if !a.take(now, b) {
 		return Stop{StopBudget}
 	}
 	return decision
 }
 
+// take takes from the budget of retries after an attempt that may have reached an upstream, and from the wider one of
+// offers after one that a node refused before its upstream saw it.
+func (a Attempt) take(now time.Time, b *Budget) bool {
+	if a.Reached() {
+		return b.Take(now)
+	}
+	return b.TakeOffer(now)
+}
+
+// Reached reports whether the attempt may have reached an upstream.
+func (a Attempt) Reached() bool { return Reached(a.ending) }
+
+// Reached reports whether an attempt with the ending may have reached an upstream. A refusal by a node does not, except
+// where its upstream has shed the call.
+func Reached(e Ending) bool {
+	switch e := e.(type) {
+	case NotSent:
+		return false
+	case Refused:
+		return e.refusal.Outcome() != call.OutcomeNotRun || e.refusal.Reason() == call.ReasonUpstreamShed
+	default:
+		return true
+	}
+}
+
 // safety decides by the ending alone.
 func (a Attempt) safety() RetryDecision {
 	switch e := a.ending.(type) {
@@ -128,7 +157,7 @@
 func helpsElsewhere(r call.Reason) bool {
 	switch r {
 	case call.ReasonDeadlineUnmeetable, call.ReasonDraining, call.ReasonNotReady, call.ReasonPeerUnreachable,
-		call.ReasonQueueFull, call.ReasonUpstreamFailed, call.ReasonUpstreamUnavailable:
+		call.ReasonQueueFull, call.ReasonUpstreamFailed, call.ReasonUpstreamShed, call.ReasonUpstreamUnavailable:
 		return true
 	default:
 		return false
--- a/baobabroute/state.go
+++ b/baobabroute/state.go
@@ -11,6 +11,9 @@
 	consecutiveLimit = 5
 	rateLimit        = 0.5
 	rateSamples      = 20
+	// failingBound is the share of failed and shed calls above which an endpoint of the own failure domain is not
+	// preferred: two failures in a row after successes.
+	failingBound = 0.18
 )
 
 // A State is what this node knows about an endpoint at one time.
@@ -49,6 +52,9 @@
 	return s.consecutiveFailures >= consecutiveLimit || (s.ended >= rateSamples && s.failureRate > rateLimit)
 }
 
+// failing reports whether the endpoint fails or sheds so many calls that a farther one is better.
+func (s State) failing() bool { return s.failureRate+s.refusalRate > failingBound }
+
 // pressure returns the calls at the endpoint as a multiple of its limit.
 func (s State) pressure(slots int) float64 {
 	limit := s.limit
--- a/baobabsettings/limits.go
+++ b/baobabsettings/limits.go
@@ -6,6 +6,8 @@
 	maxBodySize    Size
 	maxMessageSize Size
 	maxCalls       int
+	heapSize       Size
+	heapGrowth     int // Percent.
 }
 
 func readLimits(r *reader) Limits {
@@ -14,6 +16,8 @@
 		maxBodySize:    r.size("limits", "max_body_size", MiB, KiB, GiB),
 		maxMessageSize: r.size("limits", "max_message_size", 16*MiB, 64*KiB, 256*MiB),
 		maxCalls:       r.integer("limits", "max_calls", 4096, 1, 1<<20),
+		heapGrowth:     r.integer("limits", "heap_growth_percent", 400, 10, 10_000),
+		heapSize:       r.size("limits", "heap_size", 16*MiB, 4*MiB, 64*GiB),
 	}
 }
 
@@ -28,3 +32,9 @@
 
 // MaxCalls returns the largest number of calls in progress at the entry.
 func (l Limits) MaxCalls() int { return l.maxCalls }
+
+// HeapSize returns the memory of the process above which it collects garbage more often.
+func (l Limits) HeapSize() Size { return l.heapSize }
+
+// HeapGrowth returns by how many percent of the live heap it may grow between two collections.
+func (l Limits) HeapGrowth() int { return l.heapGrowth }
