--- a/baobabcaller/handler_test.go
+++ b/baobabcaller/handler_test.go
@@ -347,3 +347,42 @@
 		t.Errorf("labels: first %q, last %q, count %d", m.rankLabel("rank-0"), m.rankLabel("rank-99"), len(m.ranks))
 	}
 }
+
+// TestOtherFields guards against a caller that sets what only the mesh may set, against an id that is not that of the
+// request, and against a refusal in another form than the one set.
+func TestOtherFields(t *testing.T) {
+	fields := call.NewFields(map[call.Field]string{
+		call.FieldCallID: "X-Id", call.FieldCallerService: "X-Service", call.FieldTimeout: "X-Ms",
+	}, call.FieldCallerService)
+	var got *call.Call
+	server := serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		got = c
+		return nil, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "full").WithRetryAfter(42 * time.Millisecond)
+	})
+	url, _ := start(t, server, WithFields(fields), WithCallerIDs(), WithService("quotes"),
+		WithRefusals(func(*call.Refusal) int { return 503 }, func(d time.Duration) string { return d.String() }))
+	request, err := http.NewRequest(http.MethodGet, url+"/a%2Fb//c?x=%20", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header = http.Header{"X-Id": {"id1"}, "X_service": {"forged"}, "X-Service": {"forged"}, "X-Ms": {"500"}}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if got.ID() != "id1" || got.Target() != "/a%2Fb//c?x=%20" || got.Deadline().IsZero() {
+		t.Errorf("call %s, target %s, deadline %s", got.ID(), got.Target(), got.Deadline())
+	}
+	if v := got.Header()["X-Service"]; len(v) != 1 || v[0] != "quotes" || got.Header()["X_service"] != nil {
+		t.Errorf("header = %v", got.Header())
+	}
+	if response.StatusCode != 503 || response.Header.Get("Retry-After") != "42ms" || response.Header.Get("X-Id") != "id1" {
+		t.Errorf("status %d, header %v", response.StatusCode, response.Header)
+	}
+	for name := range response.Header {
+		if strings.HasPrefix(name, "Baobab") {
+			t.Errorf("field %s is sent", name)
+		}
+	}
+}
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -128,6 +128,10 @@
 			return end.answer, nil
 		}
 		last = weightier(last, end.refusal)
+		if ctx.Err() != nil {
+			// Nobody waits for the answer, so it takes nothing from the budget.
+			return nil, g.refused(r, last, number, route.StopAbandoned)
+		}
 		if route.Reached(end.ending) {
 			reached++
 		}
@@ -143,9 +147,6 @@
 			g.counters.stopped(d.Reason())
 			return nil, g.refused(r, last, number, d.Reason())
 		}
-		if ctx.Err() != nil {
-			return nil, g.refused(r, last, number, route.StopDeadline)
-		}
 	}
 }
 
--- a/baobabroute/budget.go
+++ b/baobabroute/budget.go
@@ -13,7 +13,7 @@
 	defaultFloor = 3
 	// offerPercent is the share of live calls that may be offered to another node after one refused. An offer costs a
 	// message between nodes and no upstream anything.
-	offerPercent = 100
+	offerPercent = 200
 )
 
 // A Budget bounds retries to a share of the live calls over the last 10 s, with a floor for low traffic. Offers to another
--- a/baobabroute/chooser_test.go
+++ b/baobabroute/chooser_test.go
@@ -273,3 +273,25 @@
 		t.Errorf("%d of %d endpoints are chosen after the return", len(returned), set.Len())
 	}
 }
+
+// TestFailingNeighbour guards against an endpoint that sheds or fails half of its calls and keeps all calls of its failure
+// domain, because it is the only one there.
+func TestFailingNeighbour(t *testing.T) {
+	for _, verdict := range []Verdict{VerdictFailure, VerdictRefused} {
+		c := NewChooser(NewSignals())
+		set := NewSet("quotes", "a", "r1", append(candidates("a", "r1", 1), candidates("b", "r1", 2)...))
+		for i := range 40 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			result := NewResult(VerdictSuccess, 5*time.Millisecond)
+			c.signals.Finished(now, "b-0", result)
+			c.signals.Finished(now, "b-1", result)
+			if i%2 == 0 {
+				result = NewResult(verdict, time.Millisecond)
+			}
+			c.signals.Finished(now, "a-0", result)
+		}
+		if n := shares(t, c, start.Add(50*time.Millisecond), set, 300, nil)["a-0"]; n > 30 {
+			t.Errorf("verdict %d: the failing neighbour got %d of 300 calls", verdict, n)
+		}
+	}
+}
--- a/baobabroute/ejections_test.go
+++ b/baobabroute/ejections_test.go
@@ -85,3 +85,18 @@
 		t.Errorf("ejected endpoint got %d calls", n)
 	}
 }
+
+// TestCommonFailureEjectsNothing guards against the loss of endpoints that fail only because of what is behind all of
+// them, which leaves the rest with more load.
+func TestCommonFailureEjectsNothing(t *testing.T) {
+	c := NewChooser(NewSignals())
+	set := NewSet("quotes", "a", "r1", candidates("a", "r1", 3))
+	for i := range 200 {
+		for _, candidate := range set.Candidates() {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			if d := c.Finished(now, set, candidate.ID(), NewResult(VerdictFailure, 0)); d > 0 && i > 0 {
+				t.Fatalf("%s is ejected for %s while all fail alike", candidate.ID(), d)
+			}
+		}
+	}
+}
--- a/baobabroute/retry.go
+++ b/baobabroute/retry.go
@@ -31,6 +31,7 @@
 
 // Stop reasons, sorted.
 const (
+	StopAbandoned      StopReason = "abandoned" // The caller has left.
 	StopAnswered       StopReason = "answered"
 	StopBudget         StopReason = "budget"
 	StopCrash          StopReason = "crash" // The call may have crashed the upstream.
@@ -44,7 +45,8 @@
 // StopReasons returns all stop reasons, sorted.
 func StopReasons() []StopReason {
 	return []StopReason{
-		StopAnswered, StopBudget, StopCrash, StopDeadline, StopMaxAttempts, StopRetriedEarlier, StopUnsafe, StopUseless,
+		StopAbandoned, StopAnswered, StopBudget, StopCrash, StopDeadline, StopMaxAttempts, StopRetriedEarlier, StopUnsafe,
+		StopUseless,
 	}
 }
 
--- a/baobabroute/retry_test.go
+++ b/baobabroute/retry_test.go
@@ -50,6 +50,41 @@
 	}
 }
 
+// TestOffers guards against refusals by nodes that use up the attempts or the budget of retries although no upstream has
+// seen the call, and against offers without end.
+func TestOffers(t *testing.T) {
+	later := start.Add(time.Second)
+	full := refused(call.ReasonQueueFull, call.OutcomeNotRun)
+	shed := refused(call.ReasonUpstreamShed, call.OutcomeNotRun)
+	b := NewBudget(0, WithFloor(0))
+	for range 10 {
+		b.Live(start)
+	}
+	for _, c := range []struct {
+		name    string
+		attempt Attempt
+		want    RetryDecision
+	}{
+		{"refused by a node", NewAttempt(0, 1, later, full, WithOffers(1)), Retry{RetryRefused}},
+		{"not sent", NewAttempt(0, 1, later, NotSent{}, WithOffers(1)), Retry{RetryNotSent}},
+		{"shed, no budget", NewAttempt(1, 2, later, shed, WithOffers(1)), Stop{StopBudget}},
+		{"shed, last attempt", NewAttempt(1, 1, later, shed, WithOffers(1)), Stop{StopMaxAttempts}},
+		{"lost, no budget", NewAttempt(1, 2, later, NewLost(false), WithOffers(1), WithIdempotent(true)), Stop{StopBudget}},
+		{"too many offers", NewAttempt(0, 3, later, full, WithOffers(maxOffers)), Stop{StopMaxAttempts}},
+	} {
+		if got := DecideRetry(start, c.attempt, b); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+	offers := 0
+	for b.TakeOffer(start) {
+		offers++
+	}
+	if offers > 10*offerPercent/100 {
+		t.Errorf("%d offers beside 10 calls", offers)
+	}
+}
+
 func drawEnding(t *rapid.T) Ending {
 	switch rapid.IntRange(0, 3).Draw(t, "ending") {
 	case 0:
