peer: calls do not wait for VMs that do not answer

Ruled out: the choice of endpoints (the cooldown after a failed connection works once the dial has failed). Change: a stream waits for a link that is being established for a settable time, while the dial goes on; a link from which two signs of life are missing gets no new streams; times of links are monotonic, since the time of day may jump.

--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -148,6 +148,7 @@
 		peer.WithMaxMessageBytes(int(s.Limits().MaxMessageSize().Bytes())),
 		peer.WithSameDomain(n.sameDomain),
 		peer.WithKeepAlive(s.Peers().KeepAlive()),
+		peer.WithConnectPatience(s.Peers().ConnectPatience()),
 		peer.WithDial(dialFrom(s.Listen().Peer())),
 		peer.WithRefused(n.refusals.link),
 	)
--- a/baobabpeer/counters.go
+++ b/baobabpeer/counters.go
@@ -14,12 +14,14 @@
 	refusedMalformed = "malformed"
 	refusedOversize  = "oversize"
 	refusedProof     = "proof"
+	refusedSilent    = "silent"
 	refusedStreams   = "streams"
 )
 
 // refusedReasons are all refusal reasons, so that each counter exists from the start.
 var refusedReasons = []string{
-	refusedAccepted, refusedHandshake, refusedLinks, refusedMalformed, refusedOversize, refusedProof, refusedStreams,
+	refusedAccepted, refusedHandshake, refusedLinks, refusedMalformed, refusedOversize, refusedProof, refusedSilent,
+	refusedStreams,
 }
 
 // counters hold all metrics of a transport.
--- a/baobabpeer/link.go
+++ b/baobabpeer/link.go
@@ -29,7 +29,8 @@
 	context   context.Context // Ends with the link.
 	cancel    context.CancelFunc
 	active    atomic.Int64 // Streams in use. Raised for outbound streams only under the transport's lock.
-	lastUsed  atomic.Int64 // Unix nanoseconds.
+	lastUsed  atomic.Int64 // Monotonic nanoseconds.
+	lastHeard atomic.Int64 // When bytes were last received; monotonic nanoseconds.
 }
 
 // newLink starts yamux on an authenticated connection. Keepalives are left to linkConn.
@@ -37,8 +38,10 @@
 	l := &link{transport: t, address: address, bytes: bytes}
 	l.context, l.cancel = context.WithCancel(t.context)
 	l.touch()
+	l.lastHeard.Store(monotonic())
 	o := &t.options
 	conn := newLinkConn(c, bytes, o.keepAlive, l.closed)
+	conn.heard = &l.lastHeard
 	config := &yamux.Config{
 		AcceptBacklog:          o.maxStreams,
 		KeepAliveInterval:      o.keepAlive, // Unused, but must be set.
@@ -66,7 +69,13 @@
 	l.transport.forget(l)
 }
 
-func (l *link) touch() { l.lastUsed.Store(time.Now().UnixNano()) }
+func (l *link) touch() { l.lastUsed.Store(monotonic()) }
+
+// silent reports whether the other side has missed signs of life, so that it can hardly be reached. The link stays open
+// for a while, because what is lost may be on its way again.
+func (l *link) silent() bool {
+	return monotonic()-l.lastHeard.Load() > int64(staleIntervals*l.transport.options.keepAlive)
+}
 
 // release ends the use of one stream.
 func (l *link) release() {
--- a/baobabpeer/linkconn.go
+++ b/baobabpeer/linkconn.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,9 @@
 	maxCoalescedBytes = 4 << 10
 	// A header that is held for the next write is sent after this time at the latest.
 	flushDelay = time.Millisecond
+	// A link that was silent for this many keepalive intervals gets no new streams. The other side sends something at least
+	// every one and a half.
+	staleIntervals = 2
 	// A link is closed after this many keepalive intervals without a received byte.
 	silentIntervals = 3
 )
@@ -37,6 +41,7 @@
 	bytes    *byteCounters
 	interval time.Duration // Of keepalives.
 	onClose  func()
+	heard    *atomic.Int64 // Time of the last received byte, monotonic nanoseconds; may be nil.
 	closed   sync.Once
 	deadline time.Time // Start of the running read deadline; used by the reading goroutine only.
 
@@ -73,6 +78,9 @@
 	}
 	n, err := c.Conn.Read(b)
 	c.bytes.linkIn.Add(n)
+	if n > 0 && c.heard != nil {
+		c.heard.Store(monotonic())
+	}
 	return n, err
 }
 
--- a/baobabpeer/options.go
+++ b/baobabpeer/options.go
@@ -20,6 +20,8 @@
 	defaultDialTimeout    = 2 * time.Second
 	defaultRequestTimeout = 10 * time.Second
 	defaultKeepAlive      = time.Second
+	// defaultConnectPatience is four round trips between regions 55 ms apart and some time for the other process.
+	defaultConnectPatience = 500 * time.Millisecond
 )
 
 // Option sets a property of a Transport.
@@ -27,33 +29,35 @@
 
 // options hold the properties of a transport.
 type options struct {
-	maxMessage     int // Bytes.
-	maxChunk       int // Bytes.
-	maxStreams     int
-	maxLinks       int
-	maxAccepted    int
-	idleLimit      time.Duration
-	dialTimeout    time.Duration
-	requestTimeout time.Duration
-	keepAlive      time.Duration
-	dial           func(ctx context.Context, address string) (net.Conn, error)
-	sameDomain     func(address string) bool
-	set            *metrics.Set
-	refused        func(address string, err error)
+	maxMessage      int // Bytes.
+	maxChunk        int // Bytes.
+	maxStreams      int
+	maxLinks        int
+	maxAccepted     int
+	idleLimit       time.Duration
+	dialTimeout     time.Duration
+	requestTimeout  time.Duration
+	keepAlive       time.Duration
+	connectPatience time.Duration
+	dial            func(ctx context.Context, address string) (net.Conn, error)
+	sameDomain      func(address string) bool
+	set             *metrics.Set
+	refused         func(address string, err error)
 }
 
 func newOptions(list []Option) options {
 	dialer := &net.Dialer{}
 	o := options{
-		maxMessage:     defaultMaxMessageBytes,
-		maxChunk:       defaultMaxChunkBytes,
-		maxStreams:     defaultMaxStreams,
-		maxLinks:       defaultMaxLinks,
-		maxAccepted:    defaultMaxAccepted,
-		idleLimit:      defaultIdleLimit,
-		dialTimeout:    defaultDialTimeout,
-		requestTimeout: defaultRequestTimeout,
-		keepAlive:      defaultKeepAlive,
+		maxMessage:      defaultMaxMessageBytes,
+		maxChunk:        defaultMaxChunkBytes,
+		maxStreams:      defaultMaxStreams,
+		maxLinks:        defaultMaxLinks,
+		maxAccepted:     defaultMaxAccepted,
+		idleLimit:       defaultIdleLimit,
+		dialTimeout:     defaultDialTimeout,
+		requestTimeout:  defaultRequestTimeout,
+		keepAlive:       defaultKeepAlive,
+		connectPatience: defaultConnectPatience,
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -96,6 +100,12 @@
 // Both ends of a link must use the same interval.
 func WithKeepAlive(d time.Duration) Option { return func(o *options) { o.keepAlive = d } }
 
+// WithConnectPatience sets how long a stream waits for a link that is being established. The attempt goes on, for the
+// streams that come later.
+func WithConnectPatience(d time.Duration) Option {
+	return func(o *options) { o.connectPatience = d }
+}
+
 // WithDial replaces the function that connects to an address, for example to map it to another.
 func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
 	return func(o *options) { o.dial = dial }
--- a/baobabpeer/transport.go
+++ b/baobabpeer/transport.go
@@ -265,13 +265,8 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case <-ctx.Done():
-			return nil, newError("open", KindUnreachable, ctx.Err())
-		case <-d.done:
-		}
-		if d.err != nil {
-			return nil, d.err
+		if err := d.wait(ctx, t.options.connectPatience); err != nil {
+			return nil, err
 		}
 	}
 }
@@ -282,6 +277,10 @@
 		t.counters.refused(refusedStreams)
 		return nil, newError("open", KindLimit, errors.New("streams of the link"))
 	}
+	if l.silent() {
+		t.counters.refused(refusedSilent)
+		return nil, newError("open", KindUnreachable, errors.New("the link is silent"))
+	}
 	l.active.Add(1)
 	l.touch()
 	return l, nil
@@ -301,7 +300,7 @@
 		}
 		delete(t.links, victim.address)
 	}
-	d := &dial{done: make(chan struct{})}
+	d := &dial{done: make(chan struct{}), started: monotonic()}
 	if !t.spawn(func() { t.connect(address, d) }) {
 		return nil, victim, newError("open", KindClosed, nil)
 	}
@@ -440,8 +439,8 @@
 		select {
 		case <-t.tomb.Dying():
 			return nil
-		case now := <-ticker.C:
-			for _, l := range t.takeIdle(now) {
+		case <-ticker.C:
+			for _, l := range t.takeIdle(monotonic()) {
 				t.counters.idle.Inc()
 				l.close()
 			}
@@ -449,12 +448,12 @@
 	}
 }
 
-func (t *Transport) takeIdle(now time.Time) []*link {
+func (t *Transport) takeIdle(now int64) []*link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var idle []*link
 	for address, l := range t.links {
-		if l.active.Load() > 0 || now.UnixNano()-l.lastUsed.Load() < int64(t.options.idleLimit) {
+		if l.active.Load() > 0 || now-l.lastUsed.Load() < int64(t.options.idleLimit) {
 			continue
 		}
 		delete(t.links, address)
--- a/baobabpeer/transport_test.go
+++ b/baobabpeer/transport_test.go
@@ -445,3 +445,54 @@
 	_ = third.Close()
 	eventually(t, "idle links closed", func() bool { n, _ := c.Links(); return n == 0 })
 }
+
+// TestConnectPatience guards against calls that spend their whole time on a VM that does not answer, and against a dial
+// that is given up when its first caller is.
+func TestConnectPatience(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), echo)
+	answers := make(chan struct{})
+	slow := func(ctx context.Context, address string) (net.Conn, error) {
+		select {
+		case <-answers:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	c := client(t, sharedKey(t, testKey), WithDial(slow), WithConnectPatience(20*time.Millisecond), WithDialTimeout(time.Minute))
+	for range 2 {
+		_, err := c.Open(t.Context(), address)
+		if kindOf(err) != KindUnreachable {
+			t.Fatalf("Open() = %v, want unreachable", err)
+		}
+	}
+	close(answers)
+	deadline := time.Now().Add(30 * time.Second)
+	for {
+		if _, err := c.Request(t.Context(), address, message("x")); err == nil {
+			return
+		} else if time.Now().After(deadline) {
+			t.Fatalf("the link was never established: %v", err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSilentLink guards against calls that are sent into a link whose other side has gone without a word.
+func TestSilentLink(t *testing.T) {
+	_, address := serve(t, sharedKey(t, testKey), echo)
+	c := client(t, sharedKey(t, testKey))
+	if _, err := c.Request(t.Context(), address, message("x")); err != nil {
+		t.Fatal(err)
+	}
+	c.mu.Lock()
+	l := c.links[address]
+	c.mu.Unlock()
+	if l.silent() {
+		t.Fatal("a link that has just answered is silent")
+	}
+	l.lastHeard.Store(monotonic() - int64(staleIntervals*c.options.keepAlive) - 1)
+	if _, err := c.Open(t.Context(), address); kindOf(err) != KindUnreachable {
+		t.Errorf("Open() on a silent link = %v, want unreachable", err)
+	}
+}
--- a/baobabsettings/peers.go
+++ b/baobabsettings/peers.go
@@ -24,6 +24,7 @@
 	idleTimeout time.Duration
 	maxLinks    int
 	keepAlive   time.Duration
+	patience    time.Duration
 }
 
 func readPeers(r *reader) Peers {
@@ -31,6 +32,7 @@
 		seeds:       r.addresses("peers", "seeds"),
 		idleTimeout: r.duration("peers", "idle_timeout", 20*time.Second, time.Second, 24*time.Hour),
 		maxLinks:    r.integer("peers", "max_links", 1024, 1, 1<<16),
+		patience:    r.duration("peers", "connect_patience", 500*time.Millisecond, time.Millisecond, time.Minute),
 		keepAlive:   r.duration("peers", "keep_alive", time.Second, 50*time.Millisecond, time.Minute),
 	}
 	if r.choice("peers", "authentication", peersBySecret, peersBySecret, peersByNetwork) == peersBySecret {
@@ -125,3 +127,6 @@
 // KeepAlive returns the time without traffic after which a link sends a sign of life. A link that is silent for three of
 // them is closed.
 func (p Peers) KeepAlive() time.Duration { return p.keepAlive }
+
+// ConnectPatience returns how long a call waits for a link that is being established.
+func (p Peers) ConnectPatience() time.Duration { return p.patience }
