--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -107,6 +107,9 @@
 	return call.NewRefusal(call.ReasonDeadlineUnmeetable, call.OutcomeNotRun, detail).WithRetryAfter(wait)
 }
 
+// slowService is the latency of a slow call in percent of the mean.
+const slowService = 125
+
 // beyondTarget returns a refusal when the rank is overloaded and the request would miss the rank's target. Bounded
 // by deadlines alone, the queue of an overloaded rank grows until every wait is just short of the deadline, so
 // that the rank is served at full rate and all its answers miss the target.
@@ -115,9 +118,11 @@
 	if target <= 0 || !q.ranks[rank].overloaded {
 		return nil
 	}
-	// Half the target leaves room for the variation of service; with the whole target less the mean latency half
-	// of the answers were late. An upstream slower than the target must not stop all work.
-	if wait <= max(min(target/2, target-s.expected), target/4) {
+	// Half of what service usually leaves of the target keeps the slots busy and leaves room for the variation of service:
+	// with the whole of it, or with half the target, half of the answers of a saturated upstream were late. An upstream
+	// slower than the target must not stop all work.
+	slack := target - s.expected*slowService/100
+	if wait <= max(slack/2, target/8) {
 		return nil
 	}
 	const detail = "rank is overloaded and the estimated wait exceeds its target"
