node: a node that is started again without the platform finds its peers

Ruled out: slow starts (a process listens after 30 ms). Conclusion: seeds are needed only by nodes at new addresses.

--- a/baobabmembership/table.go
+++ b/baobabmembership/table.go
@@ -238,6 +238,11 @@
 	return t.collect(func(e *entry) bool { return e.member.state.Live() })
 }
 
+// Departed returns the dead and left members of a failure domain, sorted by id, until they are forgotten.
+func (t *Table) Departed(failureDomain string) []Member {
+	return t.collect(func(e *entry) bool { return !e.member.state.Live() && e.member.failureDomain == failureDomain })
+}
+
 // Records returns the records of failure domains for other nodes, sorted by id, including dead and left ones. No
 // domains means all.
 func (t *Table) Records(domains []string) []Member {
--- a/baobabnode/confirmation_test.go
+++ b/baobabnode/confirmation_test.go
@@ -12,7 +12,7 @@
 // that waits for a platform that is away.
 func TestConfirmation(t *testing.T) {
 	away := errors.New("away")
-	const short, long = time.Second, withoutPlatform
+	const short, long = time.Second, 3 * time.Second
 	for _, c := range []struct {
 		name string
 		in   confirmation
@@ -30,6 +30,7 @@
 		{"peers alone, older rejected", confirmation{platformErr: away, answered: 1, waited: long, version: 3, highest: 5, rejected: 4}, "a newer version"},
 		{"peers without a configuration", confirmation{platformErr: away, answered: 1, waited: long}, "no configuration"},
 	} {
+		c.in.patience = long
 		if got := c.in.missing(); (got == "") != (c.want == "") || !strings.HasPrefix(got, c.want) {
 			t.Errorf("%s: %q, want %q", c.name, got, c.want)
 		}
--- a/baobabnode/members.go
+++ b/baobabnode/members.go
@@ -114,6 +114,12 @@
 	return m.table.Records(domains)
 }
 
+func (m *members) departed(failureDomain string) []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Departed(failureDomain)
+}
+
 func (m *members) digest() membership.Digest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -28,6 +28,8 @@
 	exchangeTries = 3
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
+	// departedVisits is how many departed members a bridge visits in a round.
+	departedVisits = 3
 	// firstExchanges divides the time to the first exchange of a started node. The time doubles until it is normal.
 	firstExchanges = 8
 	// pushedRecords is how many records go with one message after an exchange.
@@ -51,6 +53,8 @@
 	probeTimeout  time.Duration
 	exchangeEvery time.Duration
 	leaving       atomic.Bool
+	found         chan struct{} // Closed when another member is known for the first time.
+	foundOnce     sync.Once
 }
 
 // run probes and exchanges until ctx ends.
@@ -92,6 +96,9 @@
 		c.logger.Warn("invalid member records ignored", "count", invalid)
 	}
 	c.handle(c.members.do(func(t *membership.Table) []membership.Change { return t.Merge(now, list) }), false)
+	if len(list) > 0 && c.found != nil {
+		c.foundOnce.Do(func() { close(c.found) })
+	}
 }
 
 // handle acts on changes of the table. Changes that this node has found itself are spread; the own record is spread
@@ -271,6 +278,23 @@
 		return c.addressIn(random, others[random.IntN(len(others))])
 	}, true)
 	c.exchangeAny(ctx, func() (string, bool) { return c.seeds.stranger(random) }, true)
+	c.visitDeparted(ctx, random, own)
+}
+
+// visitDeparted exchanges with members of the own failure domain that have left or died. A process that was started again
+// at the same address finds the others in this way when the platform, which has the seeds, is away.
+func (c *membershipController) visitDeparted(ctx context.Context, random *rand.Rand, own string) {
+	list := c.members.departed(own)
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	var visits sync.WaitGroup
+	for _, m := range list[:min(departedVisits, len(list))] {
+		visits.Go(func() {
+			if err := c.exchange(ctx, m.PeerAddress(), false); err != nil {
+				c.logger.Debug("departed member does not answer", "member", m.ID(), "err", err)
+			}
+		})
+	}
+	visits.Wait()
 }
 
 // exchangeAny exchanges with the first node that answers, of those that choose returns.
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -184,7 +184,7 @@
 	n.membership = &membershipController{
 		board: n.board, members: n.members, broadcaster: broadcaster, configuration: n.configuration, transport: n.transport,
 		seeds: n.seeds, now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
-		probeTimeout: s.Membership().ProbeTimeout(), exchangeEvery: s.Membership().ExchangeInterval(),
+		found: make(chan struct{}), probeTimeout: s.Membership().ProbeTimeout(), exchangeEvery: s.Membership().ExchangeInterval(),
 	}
 	n.upstream = &upstreamController{
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
@@ -195,7 +195,7 @@
 	}
 	n.starter = newStarter()
 	n.starter.members, n.starter.membership, n.starter.configuration = n.members, n.membership, n.configuration
-	n.starter.authoritative = n.parts.authoritative
+	n.starter.authoritative, n.starter.patience = n.parts.authoritative, s.Platform().StartPatience()
 	n.starter.seeds, n.starter.now, n.starter.logger = n.seeds, n.now, n.logger
 }
 
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	release "github.com/baobabdale/baobabdale/baobabrelease"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
@@ -26,8 +27,6 @@
 	startPauseMax = 2 * time.Second
 	// startJitter spreads nodes that start in the same moment.
 	startJitter = 200 * time.Millisecond
-	// withoutPlatform is how long a node waits for the platform before it trusts its peers alone.
-	withoutPlatform = 3 * time.Second
 	// witnesses is how many members are asked for the highest version besides the ring successors, which have
 	// heard the version of this node's last run in its probes.
 	witnesses = 3
@@ -40,7 +39,8 @@
 	membership    *membershipController
 	configuration *configurationController
 	seeds         *seedBook
-	authoritative bool // The source alone confirms the version.
+	authoritative bool          // The source alone confirms the version.
+	patience      time.Duration // How long the platform is waited for before the peers alone are trusted.
 	now           func() time.Time
 	logger        *log.Logger
 
@@ -65,6 +65,7 @@
 	}
 	begin := s.now()
 	joined, ready := false, false
+	found := s.membership.found
 	for pause := startPause; ctx.Err() == nil; pause = min(2*pause, startPauseMax) {
 		changed := s.configuration.board.InForceChanged()
 		joined = joined || s.join(ctx)
@@ -82,12 +83,14 @@
 			changed = nil
 		}
 		wait := pause + rand.N(pause)
-		if left := withoutPlatform - s.now().Sub(begin); left > 0 {
+		if left := s.patience - s.now().Sub(begin); left > 0 {
 			wait = min(wait, left+rand.N(startPause))
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-found:
+			found = nil // It stays closed.
 		case <-time.After(wait):
 		}
 	}
@@ -136,15 +139,12 @@
 // confirm returns why the node may not serve yet, or an empty text. The platform and a peer must have answered; the
 // platform is enough where no peer is known, and peers are enough when the platform has been away for a while.
 func (s *starter) confirm(ctx context.Context, waited time.Duration) string {
-	head, platformErr := s.configuration.loadHead(ctx, false)
-	if platformErr == nil && s.authoritative {
-		platformErr = s.configuration.confirmHead(ctx, head)
-	}
+	head, platformErr := s.loadHead(ctx)
 	if platformErr == nil && s.authoritative && s.configuration.board.Version().Number() > 0 {
 		return ""
 	}
 	asked, answered := s.askPeers(ctx)
-	if platformErr == nil && asked > 0 && answered == 0 && waited < withoutPlatform {
+	if platformErr == nil && asked > 0 && answered == 0 && waited < s.patience {
 		return "no peer has confirmed the version"
 	}
 	if platformErr == nil && s.configuration.board.Version().Number() > 0 {
@@ -152,11 +152,23 @@
 		platformErr = s.configuration.confirmHead(ctx, head)
 	}
 	return confirmation{
-		platformErr: platformErr, answered: answered, waited: waited, version: s.configuration.board.Version().Number(),
+		platformErr: platformErr, answered: answered, waited: waited, patience: s.patience, version: s.configuration.board.Version().Number(),
 		highest: s.configuration.board.Highest(), rejected: s.configuration.rejectedNumber(),
 	}.missing()
 }
 
+// loadHead puts the version of the head in force, and confirms it where the source alone does. It waits only as long as
+// the platform is waited for.
+func (s *starter) loadHead(ctx context.Context) (release.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.patience)
+	defer cancel()
+	head, err := s.configuration.loadHead(ctx, false)
+	if err == nil && s.authoritative {
+		err = s.configuration.confirmHead(ctx, head)
+	}
+	return head, err
+}
+
 // askPeers asks members for the highest version that they have heard of, and fetches it.
 func (s *starter) askPeers(ctx context.Context) (asked, answered int) {
 	targets := s.witnesses()
--- a/baobabsettings/platform.go
+++ b/baobabsettings/platform.go
@@ -10,12 +10,14 @@
 	url          string
 	timeout      time.Duration // Of one request.
 	pollInterval time.Duration // Between reads of the head by the nodes that poll.
+	patience     time.Duration // Of a starting node.
 }
 
 func readPlatform(r *reader) Platform {
 	return Platform{
 		url:          readURL(r, "platform", "url"),
 		timeout:      r.duration("platform", "timeout", 2*time.Second, 10*time.Millisecond, time.Minute),
+		patience:     r.duration("platform", "start_patience", 3*time.Second, 10*time.Millisecond, time.Minute),
 		pollInterval: r.duration("platform", "poll_interval", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
 	}
 }
@@ -41,3 +43,6 @@
 
 // PollInterval returns the time between two reads of the head.
 func (p Platform) PollInterval() time.Duration { return p.pollInterval }
+
+// StartPatience returns how long a starting node waits for the platform before it trusts the version of its peers alone.
+func (p Platform) StartPatience() time.Duration { return p.patience }
