admission: short urgent calls beside long ones

Ruled out: too few slots for the short calls (1.1 of 18 needed on average), and their order in the queue (first). Change: a rank is refused beyond its target only when its own work and the more urgent one ahead fill the wait; the slots kept for a rank are as many as it needs on average, where calls that hold a slot long would make it wait. Conclusion: refusing a call that waits for others' slots helps nobody.

--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -20,7 +20,7 @@
 	counters *counters
 	wait     waitMeter
 	inFlight int
-	running  map[string]int // Permits held, by kind.
+	running  map[string]int // Permits held, by name of the rank.
 	draining bool
 	idle     chan struct{} // Closed once when draining and nothing is in flight.
 }
@@ -114,34 +114,20 @@
 // dispatch grants permits up to the limit.
 func (g *Gate) dispatch(now time.Time) {
 	for limit := g.limiter.Limit(now); g.inFlight < limit; {
-		e, drops := g.queue.NextWithin(now, NewRoom(limit-g.inFlight, g.inFlight, g.nextRelease()))
+		e, drops := g.queue.NextWithin(now, NewRoom(limit, g.running))
 		g.dropAll(drops)
 		if e == nil {
 			return
 		}
 		g.inFlight++
-		g.running[e.request.kind]++
+		g.running[g.rankName(e.request)]++
 		wait := max(0, now.Sub(e.since))
 		g.wait.note(now, wait)
 		g.counters.grant(g.rankName(e.request))
-		e.waiter.grant(&Permit{gate: g, kind: e.request.kind, since: now, wait: wait})
+		e.waiter.grant(&Permit{gate: g, kind: e.request.kind, rank: g.rankName(e.request), since: now, wait: wait})
 	}
 }
 
-// nextRelease returns the mean time until one of the running calls ends, or zero when no latency is known.
-func (g *Gate) nextRelease() time.Duration {
-	rate := 0.0
-	for kind, n := range g.running {
-		if d := g.limiter.Expected(kind); d > 0 {
-			rate += float64(n) / d.Seconds()
-		}
-	}
-	if rate == 0 {
-		return 0
-	}
-	return time.Duration(float64(time.Second) / rate)
-}
-
 func (g *Gate) dropAll(drops []Drop) {
 	for _, d := range drops {
 		d.entry.waiter.refuse(g.refuse(d.entry.request, d.refusal))
@@ -169,8 +155,8 @@
 	p.released = true
 	g.limiter.Record(now, p.kind, now.Sub(p.since), o, g.inFlight)
 	g.inFlight--
-	if g.running[p.kind]--; g.running[p.kind] <= 0 {
-		delete(g.running, p.kind)
+	if g.running[p.rank]--; g.running[p.rank] <= 0 {
+		delete(g.running, p.rank)
 	}
 	g.dispatch(now)
 	g.closeIfIdle()
--- a/baobabadmission/permit.go
+++ b/baobabadmission/permit.go
@@ -6,6 +6,7 @@
 type Permit struct {
 	gate     *Gate
 	kind     string
+	rank     string // Name under the policy at the time of the grant.
 	since    time.Time
 	wait     time.Duration
 	released bool // Guarded by the gate's lock.
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -62,6 +62,7 @@
 // Offer adds a request, or refuses it. A full queue may displace another entry, which is then returned as dropped.
 func (q *Queue) Offer(now time.Time, r Request, s Service) (*Entry, []Drop, *call.Refusal) {
 	rank := q.policy.index(r.rank)
+	q.ranks[rank].noteArrival(now, s.expected)
 	if !r.deadline.IsZero() && !now.Before(r.deadline) {
 		return nil, nil, call.NewRefusal(call.ReasonDeadlinePassed, call.OutcomeNotRun, "deadline passed on arrival")
 	}
@@ -70,7 +71,7 @@
 	if refusal := unmeetable(now, r, s, wait); refusal != nil {
 		return nil, nil, refusal
 	}
-	if refusal := q.beyondTarget(rank, s, wait); refusal != nil {
+	if refusal := q.beyondTarget(rank, r.caller, s, wait); refusal != nil {
 		return nil, nil, refusal
 	}
 	var drops []Drop
@@ -113,7 +114,10 @@
 // beyondTarget returns a refusal when the rank is overloaded and the request would miss the rank's target. Bounded
 // by deadlines alone, the queue of an overloaded rank grows until every wait is just short of the deadline, so
 // that the rank is served at full rate and all its answers miss the target.
-func (q *Queue) beyondTarget(rank int, s Service, wait time.Duration) *call.Refusal {
+//
+// A rank whose own work and the more urgent one do not fill the wait is not the cause: its calls wait for slots that less
+// urgent calls hold, at any endpoint, and are accepted.
+func (q *Queue) beyondTarget(rank int, caller string, s Service, wait time.Duration) *call.Refusal {
 	target := q.policy.ranks[rank].target
 	if target <= 0 || !q.ranks[rank].overloaded {
 		return nil
@@ -122,13 +126,24 @@
 	// with the whole of it, or with half the target, half of the answers of a saturated upstream were late. An upstream
 	// slower than the target must not stop all work.
 	slack := target - s.expected*slowService/100
-	if wait <= max(slack/2, target/8) {
+	most := max(slack/2, target/8)
+	if wait <= most || q.workAhead(rank, caller, s) <= most {
 		return nil
 	}
 	const detail = "rank is overloaded and the estimated wait exceeds its target"
 	return call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, detail).WithRetryAfter(wait)
 }
 
+// workAhead returns how long the calls that are served before a new one of the rank and caller, and the new one itself,
+// hold all slots.
+func (q *Queue) workAhead(rank int, caller string, s Service) time.Duration {
+	work := time.Duration(q.ranks[rank].ahead(caller)+1) * s.expected
+	for i := range rank {
+		work += time.Duration(q.ranks[i].length) * q.ranks[i].expected
+	}
+	return work / time.Duration(s.limit)
+}
+
 // EstimateWait returns how long the request would wait for a grant, from the service rate, the work that is served
 // before it, and how far recent estimates were off. It is zero when a permit is free or no latency is known.
 func (q *Queue) EstimateWait(now time.Time, r Request, s Service) time.Duration {
@@ -241,7 +256,7 @@
 func (q *Queue) pick(now time.Time, room Room) int {
 	best := -1
 	for i, r := range q.ranks {
-		if r.length == 0 || room.last() && q.keeps(now, i, room) {
+		if r.length == 0 || !room.idle() && q.keeps(now, i, room) {
 			continue
 		}
 		if best < 0 {
@@ -256,19 +271,13 @@
 	return best
 }
 
-// keeps reports whether the last free slot is kept from a rank: when a more urgent rank is active and would wait longer
-// than a share of its target for the next slot that the running calls give back.
+// keeps reports whether the free slots are kept from a rank for more urgent ones.
 func (q *Queue) keeps(now time.Time, rank int, room Room) bool {
+	kept := 0
 	for i := range rank {
-		target := q.policy.ranks[i].target
-		if target <= 0 || q.ranks[i].grantRate(now) < activeRate {
-			continue
-		}
-		if room.release > time.Duration(keptShare*float64(target)) {
-			return true
-		}
+		kept += room.kept(q.ranks[i], q.policy.ranks[i], now, q.ranks[rank].expected)
 	}
-	return false
+	return kept >= room.free
 }
 
 // creditAfter returns the credit of a waiting rank with its share of the grant that is about to be made.
--- a/baobabadmission/rankqueue.go
+++ b/baobabadmission/rankqueue.go
@@ -37,6 +37,9 @@
 	overloaded bool      // Always false without a target.
 	granted    float64   // Grants, exponentially decayed with grantRateWindow.
 	grantedAt  time.Time
+	arrived    float64 // Arrivals, decayed likewise.
+	arrivedAt  time.Time
+	expected   time.Duration // Recent mean of the latencies that were expected for arrivals.
 }
 
 func newRankQueue() *rankQueue {
@@ -130,6 +133,21 @@
 	return all
 }
 
+// noteArrival takes note of a request of the rank, whether or not it is accepted.
+func (r *rankQueue) noteArrival(now time.Time, expected time.Duration) {
+	r.arrived = decay(now, r.arrivedAt, r.arrived) + 1
+	r.arrivedAt = now
+	if r.expected == 0 {
+		r.expected = expected
+	}
+	r.expected += time.Duration(latencyWeight * float64(expected-r.expected))
+}
+
+// arrivalRate returns recent arrivals per second.
+func (r *rankQueue) arrivalRate(now time.Time) float64 {
+	return decay(now, r.arrivedAt, r.arrived) / grantRateWindow.Seconds()
+}
+
 // noteGrant takes note of a grant.
 func (r *rankQueue) noteGrant(now time.Time, e *Entry, target time.Duration) {
 	r.granted = r.decayed(now) + 1
@@ -169,10 +187,13 @@
 	return r.decayed(now) / grantRateWindow.Seconds()
 }
 
-func (r *rankQueue) decayed(now time.Time) float64 {
-	if r.grantedAt.IsZero() {
+func (r *rankQueue) decayed(now time.Time) float64 { return decay(now, r.grantedAt, r.granted) }
+
+// decay returns what is left of a count that was last updated at a time.
+func decay(now, at time.Time, count float64) float64 {
+	if at.IsZero() {
 		return 0
 	}
-	passed := max(0, now.Sub(r.grantedAt))
-	return r.granted * math.Exp(-passed.Seconds()/grantRateWindow.Seconds())
+	passed := max(0, now.Sub(at))
+	return count * math.Exp(-passed.Seconds()/grantRateWindow.Seconds())
 }
