caller: a stopping node closes idle connections

Ruled out: the listeners (closed 2.5 s after SIGTERM) and the calls themselves (both within their deadlines). Change: after the grace period each connection that has been idle for 200 ms is closed. The test fails before (the kept connection stays open for 30 s).

--- a/baobabadmission/room.go
+++ b/baobabadmission/room.go
@@ -46,7 +46,7 @@
 	if rank.target <= 0 || rate < activeRate || r.limit <= 0 {
 		return 0
 	}
-	interval := hold / time.Duration(r.limit) // Between two slots that are given back.
+	interval := hold / time.Duration(r.limit)        // Between two slots that are given back.
 	crowding := queueing * rate * interval.Seconds() // Above 1 the rank's calls wait for each other as well.
 	if time.Duration(float64(interval)*max(1, crowding)) <= time.Duration(keptShare*float64(rank.target)) {
 		return 0
--- a/baobabcaller/edge.go
+++ b/baobabcaller/edge.go
@@ -17,9 +17,9 @@
 	defaultGrace       = 500 * time.Millisecond
 	// headerSlackBytes lets the handler itself refuse and count a header that is slightly too large.
 	headerSlackBytes = 8 << 10
-	// quietTime is how long no connection may have changed before those that are left count as idle and are closed. A
-	// request that is sent on an idle connection in the same moment is lost; HTTP/1.1 gives the server no means
-	// against that.
+	// quietTime is how long a connection must have been idle before it is closed, and how long none may have changed before
+	// the edge ends. A request that is sent on an idle connection in the same moment is lost; HTTP/1.1 gives the server
+	// no means against that.
 	quietTime = 200 * time.Millisecond
 	// quietLooks is how often the connections are looked at within quietTime.
 	quietLooks = 10
@@ -110,7 +110,7 @@
 func (e *Edge) Dying() <-chan struct{} { return e.tomb.Dying() }
 
 // Shutdown asks callers to close their connections for the grace period while it still accepts, then closes the
-// listeners and waits for requests in progress until ctx ends. It returns an error when requests were interrupted.
+// listeners and idle connections, and waits for requests in progress until ctx ends. It returns an error when requests were interrupted.
 // http.Server.Shutdown is not used, because it closes a connection without an answer when a request on it is being read
 // in the moment of the call.
 func (e *Edge) Shutdown(ctx context.Context) error {
@@ -122,7 +122,7 @@
 	case <-ctx.Done():
 	}
 	e.closeListeners()
-	err := e.connections.wait(ctx, quietTime)
+	err := e.connections.drain(ctx, quietTime)
 	_ = e.server.Close()
 	e.tomb.Kill(nil)
 	if werr := e.tomb.Wait(); werr != nil && err == nil {
--- a/baobabcaller/edge_test.go
+++ b/baobabcaller/edge_test.go
@@ -1,6 +1,7 @@
 package baobabcaller
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -87,6 +88,65 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
+// TestShutdownClosesIdle guards against a stopping node that takes new requests on kept connections as long as another
+// request is in progress, and gives them up when its time is over.
+func TestShutdownClosesIdle(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	edge := NewEdge(NewHandler(serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		if c.Target() == "/slow" {
+			close(started)
+			<-release
+		}
+		return call.NewAnswer(200, nil, io.NopCloser(strings.NewReader("done"))), nil
+	})), WithGrace(0))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+	edge.Start(l)
+	kept, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	reader := bufio.NewReader(kept)
+	_, _ = io.WriteString(kept, "GET /fast HTTP/1.1\r\nHost: h\r\n\r\n")
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.Close {
+		t.Fatalf("first answer %v, %v", response, err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	slow := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + l.Addr().String() + "/slow")
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		slow <- err
+	}()
+	<-started
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		stopped <- edge.Shutdown(ctx)
+	}()
+	_ = kept.SetReadDeadline(time.Now().Add(30 * time.Second))
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("kept connection during the stop: %v, want its end", err)
+	}
+	close(release)
+	if err := <-slow; err != nil {
+		t.Errorf("request in progress: %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
 // TestShutdownLimit guards against a stop that waits for a stuck request without limit.
 func TestShutdownLimit(t *testing.T) {
 	started := make(chan struct{})
