--- a/baobabcaller/handler_test.go
+++ b/baobabcaller/handler_test.go
@@ -360,7 +360,7 @@
 		return nil, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "full").WithRetryAfter(42 * time.Millisecond)
 	})
 	url, _ := start(t, server, WithFields(fields), WithCallerIDs(), WithService("quotes"),
-		WithRefusals(func(*call.Refusal) int { return 503 }, func(d time.Duration) string { return d.String() }))
+		WithRefusals(func(*call.Refusal) int { return http.StatusServiceUnavailable }, func(d time.Duration) string { return d.String() }))
 	request, err := http.NewRequest(http.MethodGet, url+"/a%2Fb//c?x=%20", nil)
 	if err != nil {
 		t.Fatal(err)
@@ -377,7 +377,7 @@
 	if v := got.Header()["X-Service"]; len(v) != 1 || v[0] != "quotes" || got.Header()["X_service"] != nil {
 		t.Errorf("header = %v", got.Header())
 	}
-	if response.StatusCode != 503 || response.Header.Get("Retry-After") != "42ms" || response.Header.Get("X-Id") != "id1" {
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") != "42ms" || response.Header.Get("X-Id") != "id1" {
 		t.Errorf("status %d, header %v", response.StatusCode, response.Header)
 	}
 	for name := range response.Header {
