node: lines for late calls

Cause: a refused or lost call could be followed from its id, a late one could not: nothing said whether it waited or ran long, or how many nodes had refused it. Change: the node beside the upstream writes how long a late call waited and ran, the ingress which endpoint answered after how many offers; both within the bound of 100 lines a second, beyond which lines are counted. Ruled out: a line for each call, which at 1,000 calls a second would cost 1% of a core. Conclusion: the three kinds of failed request can be traced from their id.

--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -188,6 +188,14 @@
 	g.queue.Configure(p)
 }
 
+// Target returns the time within which calls of a rank are to be answered, or zero.
+func (g *Gate) Target(rank string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.queue.policy
+	return p.ranks[p.index(rank)].target
+}
+
 // Drain refuses waiting and new requests. Permits that are held stay valid.
 func (g *Gate) Drain() {
 	g.mu.Lock()
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -56,6 +56,7 @@
 	quarantine *quarantineController
 	now        func() time.Time
 	logger     *log.Logger
+	decisions  *decisionLog
 
 	finishing sync.WaitGroup // Records of answers that are being written.
 }
@@ -184,6 +185,7 @@
 			outcome = admission.OutcomeCancelled
 		}
 		permit.Release(a.now(), outcome)
+		a.noteLate(r, permit, u, answer.Status())
 		if err := t.Failure(); err != nil && !ended(err) {
 			a.died(r, u)
 		}
@@ -199,6 +201,17 @@
 	return call.NewAnswer(answer.Status(), answer.Header(), body), nil
 }
 
+// noteLate writes down where the time went of a call whose wait and run together took longer than its rank's target.
+func (a *Admitter) noteLate(r *admissionRequest, permit *admission.Permit, u *blackboard.Upstream, status int) {
+	now, target := a.now(), a.gate.Target(r.rank)
+	ran := now.Sub(permit.Since())
+	if target <= 0 || permit.Wait()+ran <= target {
+		return
+	}
+	a.decisions.write(now, "call late at its upstream", "call", r.call.ID(), "service", r.service, "rank", r.rank,
+		"upstream", u.ID(), "queued", permit.Wait(), "ran", ran, "target", target, "status", status)
+}
+
 // finish records the answer in the background; until then a repeated request is answered as in progress.
 func (a *Admitter) finish(granted claim.Granted, answer *call.Answer, body *admittedBody) {
 	record := claim.NewStatusRecord(answer.Status())
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -54,6 +54,7 @@
 	set         *route.Set
 	budget      *route.Budget
 	maxAttempts int
+	target      time.Duration // Of the rank; zero: none.
 }
 
 // attemptEnd is how an attempt at one endpoint ended.
@@ -96,9 +97,12 @@
 	if set == nil {
 		return nil, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "service "+service+" has no upstream").WithRetryAfter(time.Second)
 	}
+	rank := rankOf(c, rt, policy)
+	ranked, _ := policy.Rank(rank)
 	return &routedCall{
+		target: ranked.Target(),
 		request: &admissionRequest{
-			call: c, service: service, rank: rankOf(c, rt, policy), deadline: g.deadline(now, c, rt), idempotent: idempotent,
+			call: c, service: service, rank: rank, deadline: g.deadline(now, c, rt), idempotent: idempotent,
 		},
 		set:         set,
 		budget:      g.budget(service, policy.RetryBudgetPercent()),
@@ -111,6 +115,7 @@
 	random := g.random()
 	defer g.randoms.Put(random)
 	r.budget.Live(g.now())
+	start := g.now()
 	tried := make(map[string]bool, r.maxAttempts)
 	var last *call.Refusal
 	reached := 0 // Attempts that may have reached an upstream.
@@ -125,7 +130,7 @@
 		tried[candidate.ID()] = true
 		end := g.attempt(ctx, r, candidate, number)
 		if end.answer != nil {
-			return end.answer, nil
+			return g.noteLate(r, end.answer, candidate, start, number), nil
 		}
 		last = weightier(last, end.refusal)
 		if ctx.Err() != nil {
@@ -150,6 +155,19 @@
 	}
 }
 
+// noteLate writes down which endpoint answered and after how many offers when the answer's end comes later than the
+// rank's target.
+func (g *Ingress) noteLate(r *routedCall, a *call.Answer, candidate route.Candidate, start time.Time, offers int) *call.Answer {
+	return withClose(a, func() {
+		now := g.now()
+		if took := now.Sub(start); r.target > 0 && took > r.target {
+			g.decisions.write(now, "call late", "call", r.request.call.ID(), "service", r.request.service,
+				"rank", r.request.rank, "member", candidate.ID(), "took", took, "target", r.target, "offers", offers,
+				"status", a.Status(), "version", g.board.Version().Number())
+		}
+	})
+}
+
 // refused writes down why a call ends without an answer, and returns the refusal.
 func (g *Ingress) refused(r *routedCall, refusal *call.Refusal, attempts int, stop route.StopReason) *call.Refusal {
 	now := g.now()
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -70,6 +70,7 @@
 	peers         *peerHandler
 	entry         *caller.Edge
 	refusals      *refusalLog
+	decisions     *decisionLog
 	stopping      atomic.Bool
 	operators     http.Handler
 }
@@ -190,8 +191,10 @@
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
 		client: n.parts.client, probes: s.Upstream().Probes(),
 	}
+	n.decisions = newDecisionLog(n.logger, n.metrics)
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
+		decisions: n.decisions,
 	}
 	n.starter = newStarter()
 	n.starter.members, n.starter.membership, n.starter.configuration = n.members, n.membership, n.configuration
@@ -214,7 +217,7 @@
 		budgets: blackboard.NewMap[budgetKey, *route.Budget](), admitter: n.admitter,
 		remote: &remoteNodes{transport: n.transport, now: n.now}, self: n.members.self, ready: n.starter, counters: counters,
 		defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
-		decisions: newDecisionLog(n.logger, n.metrics),
+		decisions: n.decisions,
 	}
 	handler := caller.NewHandler(ingress, append([]caller.Option{
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
