node: a refusal's line names the endpoint that was tried last

Cause: a lost call (stopped_by=unsafe) could not be followed to the node that held it. Change: the line has its member id. Ruled out: the address, which another VM may have later.

--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -119,15 +119,17 @@
 	tried := make(map[string]bool, r.maxAttempts)
 	var last *call.Refusal
 	reached := 0 // Attempts that may have reached an upstream.
+	previous := ""
 	for number := 1; ; number++ {
 		candidate, refusal := g.chooser.Choose(g.now(), random, r.set, func(id string) bool { return tried[id] })
 		if refusal != nil {
 			if last != nil {
 				refusal = last
 			}
-			return nil, g.refused(r, refusal, number-1, route.StopUseless)
+			return nil, g.refused(r, refusal, previous, number-1, route.StopUseless)
 		}
 		tried[candidate.ID()] = true
+		previous = candidate.ID()
 		end := g.attempt(ctx, r, candidate, number)
 		if end.answer != nil {
 			return g.noteLate(r, end.answer, candidate, start, number), nil
@@ -135,7 +137,7 @@
 		last = weightier(last, end.refusal)
 		if ctx.Err() != nil {
 			// Nobody waits for the answer, so it takes nothing from the budget.
-			return nil, g.refused(r, last, number, route.StopAbandoned)
+			return nil, g.refused(r, last, candidate.ID(), number, route.StopAbandoned)
 		}
 		if route.Reached(end.ending) {
 			reached++
@@ -150,7 +152,7 @@
 				"attempt", number, "left", r.request.deadline.Sub(g.now()))
 		case route.Stop:
 			g.counters.stopped(d.Reason())
-			return nil, g.refused(r, last, number, d.Reason())
+			return nil, g.refused(r, last, candidate.ID(), number, d.Reason())
 		}
 	}
 }
@@ -168,12 +170,12 @@
 	})
 }
 
-// refused writes down why a call ends without an answer, and returns the refusal.
-func (g *Ingress) refused(r *routedCall, refusal *call.Refusal, attempts int, stop route.StopReason) *call.Refusal {
+// refused writes down why a call ends without an answer, with the endpoint that was tried last, and returns the refusal.
+func (g *Ingress) refused(r *routedCall, refusal *call.Refusal, member string, attempts int, stop route.StopReason) *call.Refusal {
 	now := g.now()
 	g.decisions.write(now, "call refused", "call", r.request.call.ID(), "service", r.request.service,
 		"rank", r.request.rank, "reason", refusal.Reason(), "outcome", refusal.Outcome(), "detail", refusal.Detail(),
-		"attempts", attempts, "stopped_by", stop, "retry_after", refusal.RetryAfter(), "left", r.request.deadline.Sub(now),
+		"member", member, "attempts", attempts, "stopped_by", stop, "retry_after", refusal.RetryAfter(), "left", r.request.deadline.Sub(now),
 		"endpoints", r.set.Len(), "version", g.board.Version().Number())
 	return refusal
 }
