--- a/baobabcommand/operations_test.go
+++ b/baobabcommand/operations_test.go
@@ -11,13 +11,13 @@
 
 // TestOperationsPage guards against a refusal reason that operators cannot look up.
 func TestOperationsPage(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, r := range baobabcall.Reasons() {
 		if !strings.Contains(string(page), "| `"+string(r)+"` |") {
-			t.Errorf("docs/operations.md does not explain the reason %s", r)
+			t.Errorf("docs/OPERATIONS.md does not explain the reason %s", r)
 		}
 	}
 }
--- a/baobabproof/product_test.go
+++ b/baobabproof/product_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -218,10 +219,10 @@
 	})
 }
 
-// checkMetricsPage compares the metrics of a node with docs/operations.md in both directions.
+// checkMetricsPage compares the metrics of a node with docs/OPERATIONS.md in both directions.
 func checkMetricsPage(t *testing.T, n *baobabemulator.MeshNode) {
 	t.Helper()
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -234,12 +235,12 @@
 	for _, row := range regexp.MustCompile("(?m)^\\| `(baobab_[a-z_]+).*").FindAllStringSubmatch(string(page), -1) {
 		documented[row[1]] = true
 		if !exported[row[1]] && !strings.Contains(row[0], "from the first") {
-			t.Errorf("docs/operations.md has %s, which the node does not export", row[1])
+			t.Errorf("docs/OPERATIONS.md has %s, which the node does not export", row[1])
 		}
 	}
 	for name := range exported {
 		if !documented[name] {
-			t.Errorf("docs/operations.md does not have %s", name)
+			t.Errorf("docs/OPERATIONS.md does not have %s", name)
 		}
 	}
 }
@@ -283,13 +284,16 @@
 	return &rawLink{conn: conn, session: session}, err
 }
 
-// sendFrame opens a stream and sends one frame.
+// sendFrame opens a stream and sends one frame. The node may close the link before yamux has said that the frame was sent;
+// that the frame has arrived shows in the node's counter.
 func (l *rawLink) sendFrame(frame []byte) error {
 	s, err := l.session.OpenStream()
 	if err != nil {
 		return err
 	}
-	_, err = s.Write(frame)
+	if _, err = s.Write(frame); errors.Is(err, yamux.ErrSessionShutdown) {
+		return nil
+	}
 	return err
 }
 
--- a/baobabproof/refusal_test.go
+++ b/baobabproof/refusal_test.go
@@ -74,7 +74,7 @@
 			f.platform(`{"down": true}`)
 			do(post("no-store"))(ctx, f)
 		}},
-		{"upstream_unavailable", 503, "not_run", true, func(ctx context.Context, f *faults) {
+		{"upstream_shed", 503, "not_run", true, func(ctx context.Context, f *faults) {
 			f.behaviour(`{"shed": true}`, `{"shed": false}`, deposits...)
 			do(get)(ctx, f)
 			do(post("shed"))(ctx, f)
@@ -121,6 +121,19 @@
 			do(with(get, func(r *baobabemulator.CallerRequest) { r.Query = "crash=1&delay_ms=50" }))(ctx, f)
 			f.wait(ctx, "end of the crashed upstream", func() bool { return f.restartUpstreams() > 0 })
 		}},
+		// All upstreams of the service have crashed, and their nodes have not missed a heartbeat yet.
+		{"upstream_unavailable", 503, "not_run", true, func(ctx context.Context, f *faults) {
+			for i := range 2 * len(deposits) {
+				do(with(get, func(r *baobabemulator.CallerRequest) { r.Query = fmt.Sprintf("crash=1&delay_ms=10&n=%d", i) }))(ctx, f)
+			}
+			do(get)(ctx, f)
+			do(post("unavailable"))(ctx, f)
+			crashed := 0
+			f.wait(ctx, "end of the crashed upstreams", func() bool {
+				crashed += f.restartUpstreams()
+				return crashed >= len(deposits)
+			})
+		}},
 		{"deadline_passed", 504, "", false, do(with(slow, func(r *baobabemulator.CallerRequest) { r.Timeout = 100 * time.Millisecond }))},
 		{"deadline_unmeetable", 504, "not_run", true, busy(150, with(get, func(r *baobabemulator.CallerRequest) { r.Timeout = 30 * time.Millisecond }))},
 		{"queue_full", 429, "not_run", true, func(ctx context.Context, _ *faults) { caller.Burst(ctx, 1000, entry.EntryURL(), deferrable) }},
