caller, node, platform: bodies share a bounded memory; stop and heartbeats follow the platform's figures

Change: call.Memory bounds the bodies of callers and those of other nodes, further calls are refused as not run; the stop follows the time between the platform's stop signal and its kill; the heartbeat limit is six intervals; at most 6 members of a failure domain follow the head, of which two spread it.

--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -27,6 +27,7 @@
 	ids            *identifiers
 	maxBodyBytes   int64         // Also the limit of answers to HTTP/1.0 callers.
 	maxHeaderBytes int           // Sum of names and values.
+	memory         *call.Memory  // Of the bodies of all calls in progress; nil means no bound.
 	maxCalls       int64         // Calls in progress; 0 means no bound.
 	bodyTimeout    time.Duration // Time in which the request body must arrive.
 	writeTimeout   time.Duration // Time in which the caller must take each piece of the answer.
@@ -46,6 +47,9 @@
 // WithMaxBodyBytes sets the largest request body.
 func WithMaxBodyBytes(n int64) Option { return func(h *Handler) { h.maxBodyBytes = n } }
 
+// WithMemory bounds the bodies of all calls in progress together; further calls with a body are refused as queue_full.
+func WithMemory(m *call.Memory) Option { return func(h *Handler) { h.memory = m } }
+
 // WithMaxHeaderBytes sets the largest sum of header names and values.
 func WithMaxHeaderBytes(n int) Option { return func(h *Handler) { h.maxHeaderBytes = n } }
 
@@ -147,6 +151,7 @@
 		h.writeRefusal(w, refusal)
 		return
 	}
+	defer h.memory.Give(int64(len(c.Body())))
 	defer func() { h.meters.observe(c.Rank(), h.clock().Sub(now)) }()
 	answer, refusal := h.server.Serve(r.Context(), now, c)
 	if refusal == nil && (answer == nil || !validStatus(answer.Status())) {
--- a/baobabcaller/handler_test.go
+++ b/baobabcaller/handler_test.go
@@ -386,3 +386,35 @@
 		}
 	}
 }
+
+// TestBodyMemory guards against many large bodies that together exceed the memory of the VM, with a length and without,
+// and against memory that is not given back.
+func TestBodyMemory(t *testing.T) {
+	memory := call.NewMemory(100)
+	url, _ := start(t, answerWith(200, nil, strings.NewReader("")), WithMemory(memory), WithMaxBodyBytes(1000))
+	for _, c := range []struct {
+		size    int
+		chunked bool
+		status  int
+	}{{90, false, 200}, {101, false, 429}, {300, true, 429}, {100, true, 200}, {1001, false, 413}, {100, false, 200}} {
+		var body io.Reader = strings.NewReader(strings.Repeat("x", c.size))
+		if c.chunked {
+			body = io.MultiReader(body) // The client does not know its length.
+		}
+		response, err := http.Post(url, "text/plain", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != c.status {
+			t.Errorf("%d bytes, chunked %t: status %d, want %d", c.size, c.chunked, response.StatusCode, c.status)
+		}
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for memory.Held() != 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	if memory.Held() != 0 {
+		t.Errorf("%d bytes are still held", memory.Held())
+	}
+}
--- a/baobabcaller/request.go
+++ b/baobabcaller/request.go
@@ -130,7 +130,28 @@
 	return r.RemoteAddr, nil
 }
 
-// readBody reads the body whole within the size and time limits.
+// errMemory means that the bodies of the calls in progress leave no room.
+var errMemory = errors.New("no memory left for bodies")
+
+// memoryReader takes memory for what it reads.
+type memoryReader struct {
+	io.Reader
+	memory *call.Memory
+	taken  int64
+}
+
+// Read implements io.Reader.
+func (r *memoryReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if !r.memory.Take(int64(n)) {
+		return 0, errMemory
+	}
+	r.taken += int64(n)
+	return n, err
+}
+
+// readBody reads the body whole within the limits of size, time and memory. The memory of a body that is returned is taken;
+// that of a refused one is not.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *call.Refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -141,11 +162,16 @@
 	// A connection's deadline is on the real clock. It is lifted again afterwards, because an expired one would cancel the request's context.
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(h.bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBodyBytes))
+	reader := &memoryReader{Reader: http.MaxBytesReader(w, r.Body, h.maxBodyBytes), memory: h.memory}
+	body, err := io.ReadAll(reader)
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	h.memory.Give(reader.taken)
+	if errors.Is(err, errMemory) {
+		return nil, notRun(call.ReasonQueueFull, "the bodies of calls in progress fill the node's memory").WithRetryAfter(time.Second)
+	}
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		return nil, h.refuseBody()
 	}
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -24,8 +24,9 @@
 	// no harm, because a version is a number with a digest.
 	headReaders = 2
 	// watchers is the number of members per failure domain that follow the head of a source that tells of changes. Each
-	// change costs the platform one read per watcher: with 24 failure domains 384 of its 2,000 a second.
-	watchers = 16
+	// change costs the platform one read per watcher: with 24 failure domains 144 of its 2,000 a second. If the readers
+	// among them, which spread what they hear of, are gone unnoticed, the probes of the others spread it within 1 to 2 s.
+	watchers = 6
 	// watchPause and watchPauseMost bound the mean pause after a failure to follow the head. The longest still leaves
 	// time for a version to come into force within a second or two of the platform's return.
 	watchPause     = 100 * time.Millisecond
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -16,6 +16,7 @@
 
 	admission "github.com/baobabdale/baobabdale/baobabadmission"
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
+	call "github.com/baobabdale/baobabdale/baobabcall"
 	caller "github.com/baobabdale/baobabdale/baobabcaller"
 	claim "github.com/baobabdale/baobabdale/baobabclaim"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
@@ -82,6 +83,7 @@
 		board: blackboard.NewBoard(), gate: newGate(s.Upstream()), signals: route.NewSignals(),
 		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit())),
 	}
+	n.parts.grace, n.parts.drain = s.Shutdown().GracePeriod(), s.Shutdown().DrainTimeout()
 	for _, o := range options {
 		o(&n.parts)
 	}
@@ -210,7 +212,8 @@
 	}
 	n.peers = &peerHandler{
 		admitter: n.admitter, configuration: n.configuration, membership: n.membership, broadcaster: n.membership.broadcaster,
-		quarantine: n.quarantine, status: status, maxBody: s.Limits().MaxBodySize().Bytes(), now: n.now, logger: n.logger,
+		quarantine: n.quarantine, status: status, maxBody: s.Limits().MaxBodySize().Bytes(),
+		memory: call.NewMemory(s.Limits().BodyMemory().Bytes()), now: n.now, logger: n.logger,
 	}
 	ingress := &Ingress{
 		board: n.board, chooser: route.NewChooser(n.signals, route.WithWarmTime(s.Upstream().WarmUp())), signals: n.signals,
@@ -223,11 +226,12 @@
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
 		caller.WithMaxHeaderBytes(int(s.Limits().MaxHeaderSize().Bytes())),
 		caller.WithMaxCalls(s.Limits().MaxCalls()),
+		caller.WithMemory(call.NewMemory(s.Limits().BodyMemory().Bytes())),
 		caller.WithService(s.Upstream().Service()),
 		caller.WithMetrics(n.metrics),
 	}, n.parts.caller...)...)
 	status.refusals = handler.Refusals
-	n.entry = caller.NewEdge(handler, caller.WithGrace(s.Shutdown().GracePeriod()))
+	n.entry = caller.NewEdge(handler, caller.WithGrace(n.parts.grace))
 	service := &operatorService{book: n.book, configuration: n.configuration, status: status}
 	n.operators = operator.NewServer(service, n, operatorToken(s.Operator()), operator.WithMetrics(n.metrics),
 		operator.WithUnauthorized(n.refusals.operator))
@@ -299,8 +303,8 @@
 // progress end.
 func (n *Node) stop() {
 	n.stopping.Store(true)
-	n.logger.Info("stopping", "drain_timeout", n.settings.Shutdown().DrainTimeout())
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown().DrainTimeout())
+	n.logger.Info("stopping", "grace_period", n.parts.grace, "drain_timeout", n.parts.drain)
+	ctx, cancel := context.WithTimeout(context.Background(), n.parts.drain)
 	defer cancel()
 	n.membership.leave()
 	n.gate.Drain()
--- a/baobabnode/option.go
+++ b/baobabnode/option.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	caller "github.com/baobabdale/baobabdale/baobabcaller"
 	platform "github.com/baobabdale/baobabdale/baobabplatform"
@@ -19,6 +20,7 @@
 	caller        []caller.Option
 	client        []upstream.ClientOption
 	announcements func(*upstream.Registry) http.Handler
+	grace, drain  time.Duration // Zero: as in the settings.
 }
 
 // WithStore replaces the client of the platform. The node does not close it.
@@ -41,6 +43,12 @@
 	return func(p *parts) { p.client = append(p.client, o...) }
 }
 
+// WithShutdown replaces the grace period and the drain timeout of the settings where they follow from what stops the
+// process.
+func WithShutdown(grace, drain time.Duration) Option {
+	return func(p *parts) { p.grace, p.drain = grace, drain }
+}
+
 // WithAnnouncements replaces the handler at the announce address.
 func WithAnnouncements(handler func(*upstream.Registry) http.Handler) Option {
 	return func(p *parts) { p.announcements = handler }
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -30,6 +30,7 @@
 	quarantine    *quarantineController
 	status        *statusController
 	maxBody       int64
+	memory        *call.Memory // Of the bodies of all calls that are being admitted.
 	now           func() time.Time
 	logger        *log.Logger
 	calls         sync.WaitGroup // Calls that are being answered.
@@ -103,6 +104,14 @@
 func (h *peerHandler) serveCall(ctx context.Context, s *peer.Stream, c *wire.Call) {
 	h.calls.Add(1)
 	defer h.calls.Done()
+	size := max(c.GetBodySize(), 0)
+	if !h.memory.Take(size) {
+		refusal := call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "the bodies of calls in progress fill the node's memory")
+		m := toWireAnswer(nil, refusal, h.admitter.Load(h.now()))
+		_ = s.SendWhole(&wire.Envelope{Body: &wire.Envelope_CallAnswer{CallAnswer: m}}, nil)
+		return
+	}
+	defer h.memory.Give(size)
 	r, err := receiveCall(h.now(), s, c, h.maxBody)
 	if err != nil {
 		h.logger.Warn("call not received", "call", c.GetId(), "err", err)
--- a/baobabsettings/limits.go
+++ b/baobabsettings/limits.go
@@ -6,6 +6,7 @@
 	maxBodySize    Size
 	maxMessageSize Size
 	maxCalls       int
+	bodyMemory     Size
 	heapSize       Size
 	heapGrowth     int // Percent.
 }
@@ -17,6 +18,7 @@
 		maxMessageSize: r.size("limits", "max_message_size", 16*MiB, 64*KiB, 256*MiB),
 		maxCalls:       r.integer("limits", "max_calls", 4096, 1, 1<<20),
 		heapGrowth:     r.integer("limits", "heap_growth_percent", 400, 10, 10_000),
+		bodyMemory:     r.size("limits", "body_memory", 256*MiB, KiB, 64*GiB),
 		heapSize:       r.size("limits", "heap_size", 16*MiB, 4*MiB, 64*GiB),
 	}
 }
@@ -38,3 +40,6 @@
 
 // HeapGrowth returns by how many percent of the live heap it may grow between two collections.
 func (l Limits) HeapGrowth() int { return l.heapGrowth }
+
+// BodyMemory returns the largest sum of the request bodies of callers, and likewise of other nodes, held at one time.
+func (l Limits) BodyMemory() Size { return l.bodyMemory }
--- a/baobabsettings/upstream.go
+++ b/baobabsettings/upstream.go
@@ -17,7 +17,7 @@
 
 func readUpstream(r *reader) Upstream {
 	u := Upstream{
-		heartbeatLimit: r.duration("upstream", "heartbeat_limit", 2200*time.Millisecond, 100*time.Millisecond, time.Hour),
+		heartbeatLimit: readHeartbeatLimit(r),
 		cold:           r.duration("upstream", "warm_up", 10*time.Second, 0, time.Hour),
 		fixedLimit:     r.choice("upstream", "concurrency", "learnt", "learnt", "announced") == "announced",
 		probe:          r.choice("upstream", "probes", "on", "on", "off") == "on",
@@ -27,6 +27,23 @@
 	return u
 }
 
+// missedHeartbeats is the number of announced intervals after which an upstream without a heartbeat counts as failed.
+// Heartbeats may be late by several intervals, and a process that is gone refuses connections before that.
+const missedHeartbeats = 6
+
+// readHeartbeatLimit returns the limit, or what follows from the interval of heartbeats where that is known.
+func readHeartbeatLimit(r *reader) time.Duration {
+	limit := r.duration("upstream", "heartbeat_limit", 2200*time.Millisecond, 100*time.Millisecond, time.Hour)
+	interval := r.duration("upstream", "heartbeat_interval", 0, 0, time.Hour)
+	if interval == 0 {
+		return limit
+	}
+	if r.present("upstream", "heartbeat_limit") {
+		r.problem("upstream", "heartbeat_interval", "either this or heartbeat_limit is given")
+	}
+	return missedHeartbeats * interval
+}
+
 // Service returns the name of the service, or an empty text.
 func (u Upstream) Service() string { return u.service }
 
