--- a/baobabcommand/logqueue.go
+++ b/baobabcommand/logqueue.go
@@ -24,6 +24,7 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Uint64
+	closing chan struct{}
 	done    chan struct{}
 	close   sync.Once
 }
@@ -31,7 +32,8 @@
 // NewLogQueue returns a queue in front of a writer.
 func NewLogQueue(w io.Writer) *LogQueue {
 	q := &LogQueue{
-		lines: make(chan []byte, logQueueLines), limit: rate.NewLimiter(logLinesPerSecond, logBurst), done: make(chan struct{}),
+		lines: make(chan []byte, logQueueLines), limit: rate.NewLimiter(logLinesPerSecond, logBurst),
+		closing: make(chan struct{}), done: make(chan struct{}),
 	}
 	go q.run(w)
 	return q
@@ -54,18 +56,41 @@
 // Dropped returns the number of lines that were dropped since the last line that said so.
 func (q *LogQueue) Dropped() uint64 { return q.dropped.Load() }
 
-// Close writes the lines that wait. Nothing may be written afterwards.
+// Close writes the lines that wait. Lines that come later are lost.
 func (q *LogQueue) Close() {
-	q.close.Do(func() { close(q.lines) })
+	q.close.Do(func() { close(q.closing) })
 	<-q.done
 }
 
 func (q *LogQueue) run(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		if n := q.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w, "level=warn msg=\"log lines dropped\" count=%d\n", n)
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(w, line)
+		case <-q.closing:
+			q.flush(w)
+			return
 		}
-		_, _ = w.Write(line)
 	}
 }
+
+// flush writes the lines that wait.
+func (q *LogQueue) flush(w io.Writer) {
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(w, line)
+		default:
+			return
+		}
+	}
+}
+
+// put writes a line, after one that says how many were dropped before it.
+func (q *LogQueue) put(w io.Writer, line []byte) {
+	if n := q.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w, "level=warn msg=\"log lines dropped\" count=%d\n", n)
+	}
+	_, _ = w.Write(line)
+}
--- a/baobabcommand/logqueue_test.go
+++ b/baobabcommand/logqueue_test.go
@@ -39,6 +39,7 @@
 	dropped := q.Dropped()
 	close(w.release)
 	q.Close()
+	_, _ = fmt.Fprintln(q, "after the end") // Must not panic.
 	lines := strings.Count(w.out.String(), "line ")
 	if lines > logQueueLines+2 || dropped < uint64(3*logBurst-logQueueLines-2) {
 		t.Errorf("%d lines written, %d dropped", lines, dropped)
