caller: an idle connection is closed only while nothing is read on it

The HTTP server reports a connection as active only after it has read a request, so the map of idle connections lags behind; closing all idle ones at one moment made the gap likely enough to be seen. Ruled out: the time limit of the stop (5.5 s) and a link between nodes (the call was cancelled by its caller's end). Change: the connection itself knows when bytes were last read; it is sealed before it is closed, which fails if anything was read since it became idle, and what arrives on a sealed connection is not read, so it does not run. Conclusion: the race that the edge's comment took for unavoidable is only the one on the wire.

--- a/baobabcaller/connections.go
+++ b/baobabcaller/connections.go
@@ -46,15 +46,18 @@
 // they are open, so a node that waited until all of them were quiet would take requests until it is killed.
 func (c *connections) closeIdle(now time.Time, d time.Duration) {
 	c.mu.Lock()
-	var list []net.Conn
+	list := map[net.Conn]time.Time{}
 	for conn, since := range c.idle {
 		if now.Sub(since) >= d {
-			list = append(list, conn)
-			delete(c.idle, conn)
+			list[conn] = since
 		}
 	}
 	c.mu.Unlock()
-	for _, conn := range list {
+	for conn, since := range list {
+		// A connection on which a request is just being read stays.
+		if s, ok := conn.(*countingConn); ok && !s.seal(since) {
+			continue
+		}
 		_ = conn.Close()
 	}
 }
--- a/baobabcaller/countinglistener.go
+++ b/baobabcaller/countinglistener.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net"
+	"sync"
+	"time"
 )
 
 // The HTTP server writes these answers itself, before a request reaches the handler. Answers of the handler have
@@ -32,10 +34,41 @@
 	return &countingConn{TCPConn: t, meters: l.meters}, nil
 }
 
-// A countingConn looks at the start of each write; it changes nothing.
+// A countingConn looks at the start of each write, and can be sealed while it is idle.
 type countingConn struct {
 	*net.TCPConn
 	meters *meters
+
+	mu     sync.Mutex
+	heard  time.Time // Guarded by mu; when bytes were last read.
+	sealed bool      // Guarded by mu; what arrives is not read any more.
+}
+
+// Read implements net.Conn. Bytes that arrive on a sealed connection are dropped, so that their request is not run.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, net.ErrClosed
+	}
+	c.heard = time.Now()
+	return n, err
+}
+
+// seal ends the reading of a connection on which nothing was read since a time, and reports whether it did. The server
+// says that a connection is active only after it has read a request, so its word alone does not tell that none is there.
+func (c *countingConn) seal(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heard.After(since) {
+		return false
+	}
+	c.sealed = true
+	return true
 }
 
 // Write implements net.Conn.
