--- /dev/null
+++ b/baobabupstream/clientoptions_test.go
@@ -0,0 +1,93 @@
+package baobabupstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// platformFields are names other than the project's own.
+func platformFields() call.Fields {
+	return call.NewFields(map[call.Field]string{
+		call.FieldCallID: "X-Id", call.FieldNotStarted: "X-Not-Run", call.FieldTimeout: "X-Ms", call.FieldUpstreamID: "X-Target",
+	}, call.FieldNotStarted)
+}
+
+// TestOtherFields guards against fields that keep the project's names, against another process at the address that runs
+// the call, and against an answer to another call.
+func TestOtherFields(t *testing.T) {
+	var got http.Header
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("X-Id", r.URL.Query().Get("id"))
+		if r.Header.Get("X-Target") != "u1" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if r.URL.Path == "/full" {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	}
+	server := httptest.NewServer(http.HandlerFunc(answer))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := func(upstreamID string) *Client {
+		c := NewClient(address, 4, WithFields(platformFields()), WithUpstreamID(upstreamID), WithEchoedIDs())
+		t.Cleanup(c.Close)
+		return c
+	}
+	if _, err := read(t, doCall(t, client("u1"), newCall("c1", "GET", "/a?id=c1"))); err != nil {
+		t.Fatal(err)
+	}
+	for name := range got {
+		if strings.HasPrefix(name, "Baobab") {
+			t.Errorf("field %s is sent", name)
+		}
+	}
+	if got.Get("X-Id") != "c1" || got.Get("X-Ms") == "" {
+		t.Errorf("header = %v", got)
+	}
+	if r, ok := doCall(t, client("u2"), newCall("c1", "GET", "/a?id=c1")).(Refused); !ok {
+		t.Errorf("another process at the address: %T, want Refused", r)
+	}
+	if r, ok := doCall(t, client("u1"), newCall("c1", "GET", "/full?id=c1")).(Refused); !ok {
+		t.Errorf("not run with 429: %T, want Refused", r)
+	}
+	if r, ok := doCall(t, client("u1"), newCall("c1", "GET", "/a?id=c2")).(Died); !ok {
+		t.Errorf("answer with another id: %T, want Died", r)
+	}
+}
+
+// TestCloseDelimited guards against an answer without a length that is refused although its connection was closed in
+// order, and against one that was reset and looks complete.
+func TestCloseDelimited(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		u := startRaw(t, func(_ *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			if tcp, ok := conn.(*net.TCPConn); ok && reset {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+		c := NewClient(u.address, 4, WithCloseDelimited())
+		r := doCall(t, c, newCall("c1", "GET", "/"))
+		c.Close()
+		if _, died := r.(Died); died && reset {
+			continue
+		}
+		body, err := read(t, r)
+		if reset == (err == nil) || !reset && body != "whole" {
+			t.Errorf("reset %t: body %q, %v", reset, body, err)
+		}
+	}
+}
