node: a stopping node serves its upstream while callers come; exchanges repair crash reports

Cause: (1) a stopping node closed the gate of its upstream at the stop signal, although it ran on for the grace period and for the calls in progress. (2) Crash reports travelled by broadcast only: a node that a broadcast missed, or that was started again, let an equal request crash one more upstream. The comment of the broadcaster said that exchanges repair this; they did not.

The test prints sends and runs when it fails, and each node logs the reports that it takes over.

Change: while the grace period runs the gate stays open for calls whose deadline is before the end of the process; then the node leaves and drains. An exchange carries a digest of the known crash reports, and the reply up to 64 reports when it differs.

--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -57,6 +58,7 @@
 	now        func() time.Time
 	logger     *log.Logger
 	decisions  *decisionLog
+	end        atomic.Pointer[time.Time] // When a stopping node ends; nil while it is not stopping.
 
 	finishing sync.WaitGroup // Records of answers that are being written.
 }
@@ -84,7 +86,7 @@
 		return call.NewRefusal(call.ReasonQuarantined, call.OutcomeNotRun,
 			"equal requests crashed upstreams").WithRetryAfter(left)
 	}
-	if a.gate.Load(now).Draining() {
+	if a.gate.Load(now).Draining() || a.endsBefore(r.deadline) {
 		return call.NewRefusal(call.ReasonDraining, call.OutcomeNotRun, "the node is stopping")
 	}
 	u := a.board.Upstream()
@@ -94,6 +96,14 @@
 	return nil
 }
 
+// endAt takes note that the node is stopping. Calls that could be in progress at the end are refused from now on.
+func (a *Admitter) endAt(end time.Time) { a.end.Store(&end) }
+
+func (a *Admitter) endsBefore(deadline time.Time) bool {
+	end := a.end.Load()
+	return end != nil && end.Before(deadline)
+}
+
 // admitKeyed claims the key first, so that no slot is held while the platform answers. The call is detached from
 // the ingress: once claimed it ends and its answer is recorded even when the caller is gone, so that the caller
 // finds it when it sends the request again.
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -44,6 +44,7 @@
 	board         *blackboard.Board
 	members       *members
 	broadcaster   *broadcaster
+	quarantine    *quarantineController
 	configuration *configurationController
 	transport     *peer.Transport
 	seeds         *seedBook
@@ -324,12 +325,14 @@
 	defer cancel()
 	reply, err := c.transport.Request(ctx, address, &wire.Envelope{Body: &wire.Envelope_Exchange{Exchange: &wire.Exchange{
 		From: c.members.self, Version: toWireVersion(c.board.Version()), Digests: c.members.digest().Wire(),
+		QuarantineDigest: c.quarantine.digest(),
 	}}})
 	if err != nil {
 		return errors.Wrap(err, "exchange")
 	}
 	m := reply.GetExchangeReply()
 	c.configuration.heard(m.GetVersion(), address, foreign)
+	c.quarantine.receive(m.GetQuarantine())
 	if len(m.GetDiffering()) == 0 {
 		return nil
 	}
@@ -372,7 +375,9 @@
 		foreign := from.FailureDomain() != c.members.selfRecord().FailureDomain()
 		c.configuration.heard(m.GetVersion(), from.PeerAddress(), foreign)
 	}
-	reply := &wire.ExchangeReply{Version: toWireVersion(c.board.Version())}
+	reply := &wire.ExchangeReply{
+		Version: toWireVersion(c.board.Version()), Quarantine: c.quarantine.missing(m.GetQuarantineDigest()),
+	}
 	reply.Differing = c.members.digest().Differing(membership.DigestFromWire(m.GetDigests()))
 	if len(reply.GetDiffering()) > 0 {
 		reply.Records = membership.MembersToWire(c.now(), c.members.records(reply.GetDiffering()))
--- a/baobabnode/membershipcontroller_test.go
+++ b/baobabnode/membershipcontroller_test.go
@@ -7,12 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"gopkg.in/tomb.v2"
 
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	quarantine "github.com/baobabdale/baobabdale/baobabquarantine"
 )
 
 // newTestMembership returns the controller of a node that answers at an address of its own.
@@ -34,6 +36,7 @@
 		broadcaster:   &broadcaster{members: m, transport: transport, tomb: running, logger: logger},
 		configuration: &configurationController{board: board, members: m, logger: logger, wanted: make(chan wanted, wantedQueue)},
 	}
+	c.quarantine = newQuarantineController(board, c.broadcaster, time.Now, logger, newDecisionLog(logger, metrics.NewSet()))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -80,3 +83,23 @@
 		t.Error("the starter of the restarted node is not told")
 	}
 }
+
+// TestExchangeRepairsCrashReports guards against a request that crashes one more upstream, because the node beside it was
+// started again or a broadcast did not reach it: equal requests are refused there as well after one exchange.
+func TestExchangeRepairsCrashReports(t *testing.T) {
+	informed, restarted := newTestMembership(t, "n1", 1), newTestMembership(t, "n2", 1)
+	f := quarantine.NewFingerprint("stock", "GET", "/levels", nil)
+	for _, u := range []string{"u1", "u2"} {
+		informed.quarantine.list.Report(time.Now(), f, u, "call-"+u)
+	}
+	address := informed.members.selfRecord().PeerAddress()
+	if err := restarted.exchange(t.Context(), address, false); err != nil {
+		t.Fatal(err)
+	}
+	if _, refused := restarted.quarantine.list.Refused(time.Now(), f); !refused {
+		t.Error("the request is not refused after an exchange with a node that refuses it")
+	}
+	if update := informed.quarantine.missing(restarted.quarantine.digest()); update != nil {
+		t.Errorf("nodes that know the same crashes still send %d reports", len(update.GetReports()))
+	}
+}
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -172,7 +172,8 @@
 		membership.WithTickInterval(s.Membership().ProbeInterval()))
 	n.members = newMembers(n.board, table)
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
-	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger)
+	n.decisions = newDecisionLog(n.logger, n.metrics)
+	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisions)
 	n.book = release.NewBook(n.store)
 	source := n.parts.source
 	if source == nil {
@@ -186,14 +187,13 @@
 	n.seeds = &seedBook{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
 	n.membership = &membershipController{
 		board: n.board, members: n.members, broadcaster: broadcaster, configuration: n.configuration, transport: n.transport,
-		seeds: n.seeds, now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
+		quarantine: n.quarantine, seeds: n.seeds, now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
 		found: make(chan struct{}), probeTimeout: s.Membership().ProbeTimeout(), exchangeEvery: s.Membership().ExchangeInterval(),
 	}
 	n.upstream = &upstreamController{
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
 		client: n.parts.client, probes: s.Upstream().Probes(),
 	}
-	n.decisions = newDecisionLog(n.logger, n.metrics)
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
 		decisions: n.decisions,
@@ -299,16 +299,21 @@
 		"entry", l.entry.Addr(), "peer", l.peer.Addr(), "operator", l.operator.Addr())
 }
 
-// stop ends the node as planned: other nodes stop sending work, waiting work is refused as not run, and calls in
-// progress end.
+// stop ends the node as planned. While callers still come, its upstream still gets the calls that surely end before the
+// node does: for the last upstream of a service there is no other gate. Then other nodes stop sending work, waiting work
+// is refused as not run, and calls in progress end.
 func (n *Node) stop() {
 	n.stopping.Store(true)
 	n.logger.Info("stopping", "grace_period", n.parts.grace, "drain_timeout", n.parts.drain)
+	n.admitter.endAt(n.now().Add(n.parts.drain - lingerTime))
 	ctx, cancel := context.WithTimeout(context.Background(), n.parts.drain)
 	defer cancel()
+	shutdown := make(chan error, 1)
+	go func() { shutdown <- n.entry.Shutdown(ctx) }()
+	sleep(ctx, n.parts.grace)
 	n.membership.leave()
 	n.gate.Drain()
-	if err := n.entry.Shutdown(ctx); err != nil {
+	if err := <-shutdown; err != nil {
 		n.logger.Error("calls of callers were interrupted", "err", err)
 	}
 	select {
--- a/baobabnode/quarantinecontroller.go
+++ b/baobabnode/quarantinecontroller.go
@@ -12,6 +12,10 @@
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
+// sharedReports is how many crash reports go with one exchange, the latest first: about 6 kB. What is left out follows in
+// later exchanges, or has been broadcast already.
+const sharedReports = 64
+
 // A quarantineController shares with all nodes which requests crash upstreams. Requests that were in flight at a crash
 // are reported like the one that caused it; they are cleared when they run again without a crash.
 type quarantineController struct {
@@ -20,10 +24,13 @@
 	broadcaster *broadcaster
 	now         func() time.Time
 	logger      *log.Logger
+	decisions   *decisionLog
 }
 
-func newQuarantineController(board *blackboard.Board, b *broadcaster, now func() time.Time, logger *log.Logger) *quarantineController {
-	return &quarantineController{board: board, list: quarantine.NewList(), broadcaster: b, now: now, logger: logger}
+func newQuarantineController(board *blackboard.Board, b *broadcaster, now func() time.Time, logger *log.Logger, decisions *decisionLog) *quarantineController {
+	return &quarantineController{
+		board: board, list: quarantine.NewList(), broadcaster: b, now: now, logger: logger, decisions: decisions,
+	}
 }
 
 // run follows the policy of the local service and forgets old crashes until ctx ends.
@@ -93,6 +100,30 @@
 	}}})
 }
 
+// digest summarizes the crashes that this node knows.
+func (c *quarantineController) digest() uint64 {
+	if c.list.Empty() {
+		return 0
+	}
+	return c.list.Digest(c.now())
+}
+
+// missing returns the latest crashes that this node knows, or nil when a node with the given digest knows the same. It
+// repairs broadcasts that were lost, and tells a node that was started again.
+func (c *quarantineController) missing(digest uint64) *wire.QuarantineUpdate {
+	if c.digest() == digest {
+		return nil
+	}
+	now := c.now()
+	update := &wire.QuarantineUpdate{}
+	for _, r := range c.list.Latest(now, sharedReports) {
+		update.Reports = append(update.Reports, &wire.CrashReport{
+			Fingerprint: r.Fingerprint().Bytes(), UpstreamId: r.UpstreamID(), CallId: r.CallID(), AgeMs: r.Age(now).Milliseconds(),
+		})
+	}
+	return update
+}
+
 // receive takes over what other nodes have seen.
 func (c *quarantineController) receive(m *wire.QuarantineUpdate) {
 	now := c.now()
@@ -106,7 +137,10 @@
 		at := now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond)
 		reports = append(reports, quarantine.NewReport(f, r.GetUpstreamId(), r.GetCallId(), at))
 	}
-	c.list.Merge(now, reports)
+	for _, r := range c.list.Merge(now, reports) {
+		c.decisions.write(now, "crash report received", "upstream", r.UpstreamID(), "call", r.CallID(),
+			"fingerprint", r.Fingerprint(), "age", r.Age(now))
+	}
 	for _, v := range m.GetClearances() {
 		f, err := quarantine.ParseFingerprint(v.GetFingerprint())
 		if err != nil {
--- a/baobabproof/load_test.go
+++ b/baobabproof/load_test.go
@@ -60,6 +60,14 @@
 		}
 	}
 	if crashed > quarantineAfter {
+		for _, r := range caller.Records() {
+			t.Logf("send: %+v", r)
+		}
+		for _, r := range runs {
+			if strings.Contains(r.Path, "crash=1") {
+				t.Logf("run: %+v", r)
+			}
+		}
 		t.Errorf("the request ran on %d upstreams in %d sends, want at most %d", crashed, sends, quarantineAfter)
 	}
 	seen := map[string]int{}
--- a/baobabproof/stop_test.go
+++ b/baobabproof/stop_test.go
@@ -87,6 +87,45 @@
 	checkHistories(t, m, append(outside.Records(), inside.Records()...))
 }
 
+// TestLastGateStaysOpen guards against an upstream that is well and yet gets no work while its node, the last of the
+// service, is stopped to be started again: until the grace period is over its calls are answered.
+func TestLastGateStaysOpen(t *testing.T) {
+	t.Parallel()
+	const within = 700 * time.Millisecond // Of the grace period of 1 s in the settings of the mesh.
+	m := startMesh(t, "repair")
+	ctx := timeout(t)
+	list := m.NodesOf("dispatch")
+	last, others := list[0], m.NodesOf("quotes")
+	f := newFaults(t, m)
+	f.terminate(ctx, list[1:]...)
+	caller := baobabemulator.NewCaller("last")
+	defer caller.Close()
+	load := baobabemulator.StartLoad(ctx, 5, 5*time.Millisecond, func(ctx context.Context, serial int64) {
+		caller.Do(ctx, others[serial%int64(len(others))].EntryURL(), baobabemulator.CallerRequest{Method: http.MethodGet, Path: "/dispatch"})
+	})
+	f.waitLoaded(ctx, last)
+	begin := time.Now()
+	f.terminate(ctx, last)
+	load.Stop()
+	answered := 0
+	for _, r := range caller.Records() {
+		switch {
+		case r.Answered():
+			if r.Start.After(begin) {
+				answered++
+			}
+		case r.Start.Before(begin.Add(within)):
+			t.Errorf("request sent %v after the stop signal: status %d, outcome %q, refusal %q, err %v; want the answer",
+				r.Start.Sub(begin), r.Status, r.Outcome, r.Refusal, r.Err)
+		case r.Outcome != "not_run":
+			t.Errorf("request sent %v after the stop signal: outcome %q, refusal %q, err %v; want it not run",
+				r.Start.Sub(begin), r.Outcome, r.Refusal, r.Err)
+		}
+	}
+	t.Logf("%d requests answered after the stop signal", answered)
+	checkHistories(t, m, caller.Records())
+}
+
 // leaveLimit is how long a leaving upstream may still get new work (P7).
 const leaveLimit = 3 * time.Second
 
--- a/baobabquarantine/list.go
+++ b/baobabquarantine/list.go
@@ -118,6 +118,23 @@
 	return all
 }
 
+// Latest returns the n latest crashes that still matter, the latest first.
+func (l *List) Latest(now time.Time, n int) []Report {
+	all := l.Reports(now)
+	slices.SortStableFunc(all, func(a, b Report) int { return b.at.Compare(a.at) })
+	return all[:min(n, len(all))]
+}
+
+// Digest returns a summary of the crashes that still matter, or 0 when there are none. Lists that know the same crashes
+// have the same digest, whatever the times at which they heard of them.
+func (l *List) Digest(now time.Time) uint64 {
+	var digest uint64
+	for _, r := range l.Reports(now) {
+		digest ^= r.digest()
+	}
+	return digest
+}
+
 // Expire forgets crashes that no longer matter and returns the number of fingerprints left.
 func (l *List) Expire(now time.Time) int {
 	rule := *l.rule.Load()
--- a/baobabquarantine/list_test.go
+++ b/baobabquarantine/list_test.go
@@ -205,3 +205,25 @@
 		}
 	}
 }
+
+// TestDigest guards against exchanges that see a difference where both sides know the same crashes, and against ones that
+// see none where a crash is missing.
+func TestDigest(t *testing.T) {
+	first, second := NewList(), NewList()
+	if d := first.Digest(at(0)); d != 0 {
+		t.Errorf("digest of an empty list = %d, want 0", d)
+	}
+	first.Report(at(0), testFingerprint(1), "u", "c")
+	first.Report(at(1), testFingerprint(2), "v", "d")
+	second.Merge(at(3), []Report{NewReport(testFingerprint(2), "v", "d", at(3))})
+	if first.Digest(at(3)) == second.Digest(at(3)) {
+		t.Error("digests are equal where one list lacks a crash")
+	}
+	second.Merge(at(3), first.Latest(at(3), 8))
+	if a, b := first.Digest(at(3)), second.Digest(at(3)); a != b {
+		t.Errorf("digests of equal lists = %d and %d", a, b)
+	}
+	if latest := first.Latest(at(3), 1); len(latest) != 1 || latest[0].UpstreamID() != "v" {
+		t.Errorf("latest crash = %v, want that of v", latest)
+	}
+}
--- a/baobabquarantine/report.go
+++ b/baobabquarantine/report.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"time"
 )
 
@@ -40,6 +42,17 @@
 	return r.upstreamID == o.upstreamID && r.callID == o.callID
 }
 
+// digest returns a hash of what makes a crash the same one.
+func (r Report) digest() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(r.fingerprint[:])
+	for _, part := range []string{r.upstreamID, r.callID} {
+		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part)))) // The length keeps the parts apart.
+		_, _ = h.Write([]byte(part))
+	}
+	return h.Sum64()
+}
+
 func compareReports(a, b Report) int {
 	return cmp.Or(
 		bytes.Compare(a.fingerprint[:], b.fingerprint[:]),
