--- a/baobabbench/bench.go
+++ b/baobabbench/bench.go
@@ -116,7 +116,10 @@
 	if err := m.WaitMembers(ctx, m.Nodes()[0], len(m.Nodes())); err != nil {
 		return err
 	}
-	return m.WaitInForce(ctx, version)
+	if err := m.WaitInForce(ctx, version); err != nil {
+		return err
+	}
+	return m.WaitUpstreams(ctx)
 }
 
 // apply sets resources, accepts them and returns the number of the version.
--- a/baobabconfiguration/document.go
+++ b/baobabconfiguration/document.go
@@ -112,14 +112,13 @@
 }
 
 func all[T Resource](d *Document, kind Kind) []T {
-	var list []T
 	start := sort.Search(len(d.resources), func(i int) bool { return d.resources[i].Kind() >= kind })
-	for _, r := range d.resources[start:] {
-		t, ok := r.(T)
-		if !ok {
-			break
+	end := start + sort.Search(len(d.resources)-start, func(i int) bool { return d.resources[start+i].Kind() > kind })
+	list := make([]T, 0, end-start)
+	for _, r := range d.resources[start:end] {
+		if t, ok := r.(T); ok {
+			list = append(list, t)
 		}
-		list = append(list, t)
 	}
 	return list
 }
--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -315,71 +315,6 @@
 // PlatformStore returns a client of the platform, not through a proxy. The caller must close it.
 func (m *Mesh) PlatformStore() (*platform.Client, error) { return platform.NewClient(m.PlatformURL()) }
 
-// WaitReady waits until each of the nodes, or all, report that they are ready.
-func (m *Mesh) WaitReady(ctx context.Context, nodes ...*MeshNode) error {
-	if len(nodes) == 0 {
-		nodes = m.nodes
-	}
-	for _, n := range nodes {
-		if err := waitFor(ctx, n.id+" ready", func() bool { return statusOK(ctx, "http://"+n.OperatorAddress()+"/readyz") }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// WaitHealthy waits until the platform and all nodes answer.
-func (m *Mesh) WaitHealthy(ctx context.Context) error {
-	err := waitFor(ctx, "platform", func() bool { return statusOK(ctx, m.PlatformURL()+"/v1/counters") })
-	if err != nil {
-		return err
-	}
-	for _, n := range m.nodes {
-		if err := waitFor(ctx, n.id+" healthy", func() bool { return statusOK(ctx, "http://"+n.OperatorAddress()+"/healthz") }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// WaitInForce waits until a version or a newer one is in force at all live members, as one node sees them.
-func (m *Mesh) WaitInForce(ctx context.Context, number uint64) error {
-	client, err := m.Operator()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	return waitFor(ctx, fmt.Sprintf("version %d in force", number), func() bool {
-		s, err := client.Status(ctx)
-		if err != nil || !s.InForce(number) {
-			return false
-		}
-		have, _ := s.Progress(number)
-		return have >= m.running()
-	})
-}
-
-// WaitMembers waits until a node sees the given number of alive members.
-func (m *Mesh) WaitMembers(ctx context.Context, at *MeshNode, count int) error {
-	client, err := m.Operator(at)
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	return waitFor(ctx, fmt.Sprintf("%d members at %s", count, at.id), func() bool {
-		s, err := client.Status(ctx)
-		if err != nil {
-			return false
-		}
-		for _, v := range s.Members {
-			if v.State == "alive" {
-				return v.Count == count
-			}
-		}
-		return false
-	})
-}
-
 func (m *Mesh) running() int {
 	count := 0
 	for _, n := range m.nodes {
@@ -403,27 +338,6 @@
 	return all, nil
 }
 
-// WaitRun waits until an upstream has started a request with the given content, and returns its node.
-func (m *Mesh) WaitRun(ctx context.Context, content string) (*MeshNode, error) {
-	var found *MeshNode
-	err := waitFor(ctx, "run of "+content, func() bool {
-		for _, n := range m.nodes {
-			runs, err := n.Runs()
-			if err != nil {
-				return false
-			}
-			for _, r := range runs {
-				if contentOf(r.Path) == content {
-					found = n
-					return true
-				}
-			}
-		}
-		return false
-	})
-	return found, err
-}
-
 // EntryURLs returns the base URLs for callers of some nodes.
 func EntryURLs(nodes ...*MeshNode) []string {
 	urls := make([]string, len(nodes))
@@ -470,30 +384,3 @@
 		_ = n.proxy.Close()
 	}
 }
-
-// waitFor waits until a condition holds or ctx ends.
-func waitFor(ctx context.Context, what string, holds func() bool) error {
-	for !holds() {
-		select {
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "wait for %s", what)
-		case <-time.After(pollPause):
-		}
-	}
-	return nil
-}
-
-func statusOK(ctx context.Context, url string) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -55,6 +55,7 @@
 	logger      *log.Logger
 	interval    time.Duration // Between reads of the head.
 	wanted      chan wanted
+	joined      chan struct{} // Closed when the starter has found a member.
 
 	mu      sync.Mutex                // Serializes installs.
 	history []*configuration.Snapshot // Guarded by mu; oldest first, the last one is in force.
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -44,6 +44,8 @@
 		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
 		members: newMembers(board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1))),
 	}
+	c.joined = make(chan struct{})
+	close(c.joined)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	start := time.Now()
@@ -62,3 +64,32 @@
 		t.Errorf("%d versions were taken in %s, want at most %d", looks, time.Since(start), most)
 	}
 }
+
+// TestStartingNodeDoesNotFollowAlone guards against a fleet that starts together and of which each node follows the head,
+// because it knows only itself yet. A node that finds no member follows it after a while.
+func TestStartingNodeDoesNotFollowAlone(t *testing.T) {
+	board := blackboard.NewBoard()
+	source := &stormSource{}
+	c := &configurationController{
+		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
+		members: newMembers(board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1))),
+		joined:  make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	start := time.Now()
+	go func() {
+		defer close(done)
+		c.watch(ctx, source)
+	}()
+	for deadline := start.Add(30 * time.Second); source.number.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the head is not followed by a node that stays alone")
+		}
+	}
+	if waited := time.Since(start); waited < aloneTime {
+		t.Errorf("the head is followed after %s, want %s", waited, aloneTime)
+	}
+	cancel()
+	<-done
+}
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -15,6 +15,9 @@
 	// succession are taken together. A version of 700 routes takes about 10 ms of processor time, which on a VM with a share
 	// of 0.16 core is 60 ms; at five versions a second nodes had no time for calls.
 	changePause = 400 * time.Millisecond
+	// aloneTime is how long a starting node that has found no member waits before it follows the head. Each of many nodes
+	// that start together knows only itself at first and would take itself for one of the few that follow.
+	aloneTime = time.Second
 	// watchPause and watchPauseMost bound the mean pause after a failure to follow the head. The longest still leaves
 	// time for a version to come into force within a second or two of the platform's return.
 	watchPause     = 100 * time.Millisecond
@@ -24,6 +27,12 @@
 // watch follows the head of a source that tells of changes. In a large failure domain only a few members do, and spread
 // what they hear of; the others hear of it from them.
 func (c *configurationController) watch(ctx context.Context, w Watcher) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-c.joined:
+	case <-time.After(aloneTime):
+	}
 	for pause := watchPause; ctx.Err() == nil; {
 		if !c.members.leads(headPurpose, watchers) {
 			sleep(ctx, c.interval)
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -432,7 +432,9 @@
 }
 
 func compress(data []byte) ([]byte, error) {
-	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(256<<10))
+	// The default level takes 1.7 MB for each encoder instead of 0.3 MB, which shows where many nodes join at once.
+	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(256<<10),
+		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		return nil, errors.Wrap(err, "compress")
 	}
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -23,6 +23,7 @@
 		{"baobab_configuration_in_force_timestamp_seconds", n.inForceSince},
 		{"baobab_configuration_number", func() float64 { return float64(n.board.Version().Number()) }},
 		{"baobab_configuration_rejected_number", func() float64 { return float64(n.configuration.rejectedNumber()) }},
+		{"baobab_membership_endpoints", n.countEndpoints},
 		{"baobab_quarantine_refused", func() float64 { _, refused := n.quarantine.count(n.now()); return float64(refused) }},
 		{"baobab_quarantine_suspected", func() float64 { suspected, _ := n.quarantine.count(n.now()); return float64(suspected) }},
 	}
@@ -76,6 +77,17 @@
 	return float64(f.Since().UnixNano()) / 1e9
 }
 
+// countEndpoints returns the number of live members with an upstream that takes calls.
+func (n *Node) countEndpoints() float64 {
+	count := 0
+	for _, m := range n.members.live() {
+		if e, ok := m.Endpoint(); ok && takesCalls(e.State()) {
+			count++
+		}
+	}
+	return float64(count)
+}
+
 func (n *Node) countMembers(s membership.State) int {
 	count := 0
 	for _, m := range n.members.live() {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -182,7 +182,7 @@
 	n.configuration = &configurationController{
 		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
 		labels: placeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
-		interval: s.Platform().PollInterval(), wanted: make(chan wanted, wantedQueue),
+		interval: s.Platform().PollInterval(), wanted: make(chan wanted, wantedQueue), joined: make(chan struct{}),
 	}
 	n.seeds = &seedBook{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
 	n.membership = &membershipController{
--- a/baobabnode/seedbook.go
+++ b/baobabnode/seedbook.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,10 @@
 	// because nodes that start at once find each other through the rows, and doubles while nothing changes.
 	seedIntervalMin = time.Second
 	seedIntervalMax = 30 * time.Second
-	seedTimeout     = 2 * time.Second
+	// seedFirst is within which time after the starter's first look an absent row is written. The nodes of a new mesh find
+	// each other by it at their second look.
+	seedFirst   = 100 * time.Millisecond
+	seedTimeout = 2 * time.Second
 )
 
 // A seedBook keeps a few addresses per failure domain in the platform, through which starting nodes and parts that
@@ -33,12 +37,17 @@
 	static  []string // From the settings.
 	logger  *log.Logger
 
-	mu    sync.Mutex
-	known []string // Guarded by mu; addresses from the rows as last read.
+	mu     sync.Mutex
+	known  []string // Guarded by mu; addresses from the rows as last read.
+	absent bool     // Guarded by mu; the last read found no first row of this failure domain.
 }
 
 // run keeps the rows of this failure domain up to date until ctx ends.
 func (b *seedBook) run(ctx context.Context) error {
+	if !sleep(ctx, startJitter+rand.N(seedFirst)) {
+		return nil
+	}
+	b.introduce(ctx)
 	interval := seedIntervalMin
 	for {
 		select {
@@ -85,6 +94,29 @@
 	return list[random.IntN(len(list))], true
 }
 
+// introduce writes the first row of the failure domain when the starter has read that there is none. A starting node, which
+// does not know who else lives, replaces no row.
+func (b *seedBook) introduce(ctx context.Context) {
+	b.mu.Lock()
+	absent := b.absent
+	b.mu.Unlock()
+	if !absent || len(b.members.live()) > 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	key := b.key(0)
+	tx := platform.NewTransaction().IfAbsent(key).Put(key, []byte(b.members.selfRecord().PeerAddress()))
+	if _, err := b.store.Commit(ctx, tx.Build()); err != nil {
+		b.logger.Debug("first seed not written", "err", err)
+	}
+}
+
+// key returns the key of a row of this failure domain.
+func (b *seedBook) key(slot int) string {
+	return fmt.Sprintf("%s%s/%d", seedPrefix, b.members.selfRecord().FailureDomain(), slot)
+}
+
 // refresh writes the row of this node if it ranks among the seeds of its failure domain, and reports whether rows
 // have changed.
 func (b *seedBook) refresh(ctx context.Context) bool {
@@ -101,7 +133,7 @@
 		return false
 	}
 	self := b.members.selfRecord()
-	key := fmt.Sprintf("%s%s/%d", seedPrefix, self.FailureDomain(), slot)
+	key := b.key(slot)
 	tx := platform.NewTransaction().IfAbsent(key)
 	for _, r := range rows {
 		if r.Key() != key {
@@ -141,6 +173,8 @@
 		return nil, err
 	}
 	self := b.members.selfRecord().PeerAddress()
+	first := b.key(0)
+	absent := !slices.ContainsFunc(rows, func(r platform.Row) bool { return r.Key() == first })
 	var known []string
 	for _, r := range rows {
 		if string(r.Value()) != self {
@@ -148,7 +182,7 @@
 		}
 	}
 	b.mu.Lock()
-	b.known = known
+	b.known, b.absent = known, absent
 	b.mu.Unlock()
 	return rows, nil
 }
--- a/baobabnode/seedbook_test.go
+++ b/baobabnode/seedbook_test.go
@@ -135,3 +135,33 @@
 		}
 	}
 }
+
+// TestSeedBookIntroduce guards against nodes of a new mesh that find each other only after the first regular look at the
+// rows, and against a starting node that replaces the row of a living one.
+func TestSeedBookIntroduce(t *testing.T) {
+	const key = "seed/a/0"
+	for _, c := range []struct {
+		name, row string // Address in the row before; empty: no row.
+		read      bool
+		count     int // Members that the node knows.
+		commits   int
+	}{
+		{"new mesh", "", true, 1, 1},
+		{"row of another node", "127.0.0.77:1", true, 1, 0},
+		{"rows not read", "", false, 1, 0},
+		{"joined", "", true, 2, 0},
+	} {
+		store := &memoryStore{rows: map[string]platform.Row{}}
+		if c.row != "" {
+			store.rows[key] = platform.NewRow(key, []byte(c.row), 1)
+		}
+		b := newTestSeedBook(store, c.count)
+		if c.read {
+			b.addresses(t.Context())
+		}
+		b.introduce(t.Context())
+		if store.commits != c.commits {
+			t.Errorf("%s: %d rows written, want %d", c.name, store.commits, c.commits)
+		}
+	}
+}
--- a/baobabnode/starter.go
+++ b/baobabnode/starter.go
@@ -68,7 +68,10 @@
 	found := s.membership.found
 	for pause := startPause; ctx.Err() == nil; pause = min(2*pause, startPauseMax) {
 		changed := s.configuration.board.InForceChanged()
-		joined = joined || s.join(ctx)
+		if !joined && s.join(ctx) {
+			joined = true
+			close(s.configuration.joined)
+		}
 		if !ready {
 			reason := s.confirm(ctx, s.now().Sub(begin))
 			s.set(reason)
--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -72,6 +72,9 @@
 	}
 	m := startProcesses(t, spec)
 	applyExample(t, m, deployment)
+	if err := m.WaitUpstreams(timeout(t)); err != nil {
+		t.Fatal(err)
+	}
 	return m
 }
 
