upstream: one late announcement no longer shuts a living upstream out

Cause: an announcement on the project's own edge tells the start of the upstream as an age. One that a frozen node read 2.4 s late made the start look 2.4 s later; the next ones, with the true start, were then refused as those of a replaced process (410) for as long as the upstream lived.

Ruled out: the upstream (its process ran and sent), the evidence of live calls, the pause alone (a pause of 2.4 s and one of 0.65 s without load passed: the late announcement must meet the pause). On the users' platform the start is a time, so the order there is exact and the change does not reach it.

Change: a process that seems replaced is taken again when it goes on announcing itself while the other one is silent for half the heartbeat limit, and only where the start was worked out from an age.

--- a/baobabupstream/announcement.go
+++ b/baobabupstream/announcement.go
@@ -25,6 +25,7 @@
 	labels      map[string]string
 	state       State
 	startedAt   time.Time // On the node's clock, or on the upstream's where that is what it tells; zero: not known.
+	aged        bool      // The start was worked out from an age, so it seems later when the announcement was delayed.
 	sequence    uint64    // Grows with each announcement of a process; 0: not known.
 }
 
@@ -91,6 +92,7 @@
 		labels:      j.Labels,
 		state:       j.State,
 		startedAt:   now.Add(-time.Duration(j.StartedMsAgo) * time.Millisecond),
+		aged:        true,
 	}, nil
 }
 
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -26,6 +26,7 @@
 	leftID    string // The upstream that left last; its late heartbeats are refused.
 	leftTime  time.Time
 	leftStart time.Time // When it had started; zero: not known.
+	refusedAt time.Time // First refusal of a process as replaced since the current one was heard.
 }
 
 // RegistryOption sets an optional property of a Registry.
@@ -56,7 +57,7 @@
 	if a.upstreamID == r.leftID && !r.startedAfterLeaving(a) {
 		return newError(operation, KindGone, "upstream %s has left", a.upstreamID)
 	}
-	if r.replaced(a) {
+	if r.replaced(a) && !r.outlives(now, a) {
 		return newError(operation, KindGone, "upstream %s was replaced by a process that started later", a.upstreamID)
 	}
 	if r.sameProcess(a) && a.sequence > 0 && a.sequence <= r.current.sequence {
@@ -95,6 +96,20 @@
 	return same && r.current.startedAt.Sub(a.startedAt) >= startJitter
 }
 
+// outlives reports whether a process that seems replaced is the one that lives. A start that is worked out from an age is
+// too late by the delay of the announcement, for example where the node was frozen, and the true start of the next ones
+// then seems to be that of an earlier process. One that goes on announcing itself, while the other is silent, lives.
+func (r *Registry) outlives(now time.Time, a Announcement) bool {
+	if !a.aged {
+		return false
+	}
+	if !r.refusedAt.After(r.heardAt) {
+		r.refusedAt = now
+		return false
+	}
+	return now.Sub(r.heardAt) >= r.heartbeatLimit/2
+}
+
 // heldByOther reports whether a live upstream other than a is announced. An upstream at the same address has
 // replaced the former one, because two processes cannot listen there.
 func (r *Registry) heldByOther(now time.Time, a Announcement) bool {
--- a/baobabupstream/registry_test.go
+++ b/baobabupstream/registry_test.go
@@ -209,3 +209,50 @@
 		server.Close()
 	}
 }
+
+// TestRegistryDelayedStart guards against an upstream that lives and is refused for ever, because one of its announcements
+// reached its node late and made it seem to have started later, and against a late announcement of a replaced process
+// that is taken while its successor lives.
+func TestRegistryDelayedStart(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	announce := func(r *Registry, now, sent time.Duration, age time.Duration) error {
+		body := fmt.Sprintf(`{"upstream_id": "u", "service": "s", "address": "127.0.0.1:80", "slots": 1, "connections": 2,
+			"state": "ready", "started_ms_ago": %d}`, (sent + age).Milliseconds())
+		a, err := ParseAnnouncement(at(now), strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Announce(at(now), a)
+	}
+	const age = 10 * time.Second // Of the upstream at begin.
+	r := NewRegistry()
+	// Sent at 0 s, read by a frozen node after 2.4 s.
+	for _, c := range []struct {
+		now, sent time.Duration
+		taken     bool
+	}{
+		{2400 * time.Millisecond, 0, true},
+		{3 * time.Second, 3 * time.Second, false},
+		{4 * time.Second, 4 * time.Second, true},
+		{5 * time.Second, 5 * time.Second, true},
+	} {
+		if err := announce(r, c.now, c.sent, age); (err == nil) != c.taken {
+			t.Errorf("announcement sent after %s and read after %s: %v, want taken: %t", c.sent, c.now, err, c.taken)
+		}
+	}
+	r = NewRegistry()
+	// Its successor started at 0 s and is heard every second.
+	for i := range 5 {
+		now := time.Duration(i+1) * time.Second
+		if err := announce(r, now, now, 0); err != nil {
+			t.Errorf("successor: %v", err)
+		}
+		for _, late := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond} {
+			err := announce(r, now+late, 0, age)
+			if e, ok := errors.AsType[*Error](err); !ok || e.Kind() != KindGone {
+				t.Errorf("late announcement of the replaced process: %v, want it refused", err)
+			}
+		}
+	}
+}
