--- a/baobabproof/soakstep_test.go
+++ b/baobabproof/soakstep_test.go
@@ -212,10 +212,19 @@
 	n.Proxy().Heal()
 }
 
+// startSettle is how long a started process is left alone. A stop signal that arrives before it has set its handlers, with
+// nothing running in it yet, ends it by the signal (seeds 16 and 53).
+const startSettle = 500 * time.Millisecond
+
+func start(p *baobabemulator.Process) error {
+	defer time.Sleep(startSettle)
+	return p.Start()
+}
+
 func killFor(p *baobabemulator.Process, d time.Duration) error {
 	p.Kill()
 	time.Sleep(d)
-	return p.Start()
+	return start(p)
 }
 
 func pauseFor(p *baobabemulator.Process, d time.Duration) error {
@@ -231,5 +240,5 @@
 		return err
 	}
 	time.Sleep(d)
-	return p.Start()
+	return start(p)
 }
