--- a/baobabsettings/reader.go
+++ b/baobabsettings/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -218,54 +219,33 @@
 }
 
 func (r *reader) duration(section, key string, preset, low, high time.Duration) time.Duration {
-	v, ok := r.value(section, key)
-	if !ok {
-		return preset
-	}
-	d, err := time.ParseDuration(v)
-	if err != nil {
-		r.problem(section, key, "%q is not a duration such as 250ms", v)
-		return preset
-	}
-	if d < low || d > high {
-		r.problem(section, key, "%s is not between %s and %s", d, low, high)
-		return preset
-	}
-	return d
+	return bounded(r, section, key, "a duration such as 250ms", time.ParseDuration, preset, low, high)
 }
 
 func (r *reader) size(section, key string, preset, low, high Size) Size {
-	v, ok := r.value(section, key)
-	if !ok {
-		return preset
-	}
-	n, err := ParseSize(v)
-	if err != nil {
-		r.problem(section, key, "%q is not a size such as 64KiB", v)
-		return preset
-	}
-	if n < low || n > high {
-		r.problem(section, key, "%s is not between %s and %s", n, low, high)
-		return preset
-	}
-	return n
+	return bounded(r, section, key, "a size such as 64KiB", ParseSize, preset, low, high)
 }
 
 func (r *reader) integer(section, key string, preset, low, high int) int {
-	v, ok := r.value(section, key)
+	return bounded(r, section, key, "a whole number", strconv.Atoi, preset, low, high)
+}
+
+// bounded returns the value of a key between two bounds, or the preset after a problem.
+func bounded[T cmp.Ordered](r *reader, section, key, form string, parse func(string) (T, error), preset, low, high T) T {
+	text, ok := r.value(section, key)
 	if !ok {
 		return preset
 	}
-	n, err := strconv.Atoi(v)
+	v, err := parse(text)
 	if err != nil {
-		r.problem(section, key, "%q is not a whole number", v)
+		r.problem(section, key, "%q is not %s", text, form)
 		return preset
 	}
-	if n < low || n > high {
-		r.problem(section, key, "%d is not between %d and %d", n, low, high)
+	if v < low || v > high {
+		r.problem(section, key, "%v is not between %v and %v", v, low, high)
 		return preset
 	}
-	return n
+	return v
 }
 
 func (r *reader) choice(section, key, preset string, options ...string) string {
