mesh: the demo waits until its upstreams are known

Cause: README's first command failed in a fresh clone (503 no_upstream, exit code 1): since the nodes of a new mesh find each other before the upstreams have sent their first heartbeats. Ruled out: the nodes (they say truly that they know no upstream yet).

--- a/baobabmesh/democmd.go
+++ b/baobabmesh/democmd.go
@@ -108,7 +108,10 @@
 		return err
 	}
 	fmt.Printf("version %s in force at all nodes %v after the first edit\n", version, time.Since(begin).Round(time.Millisecond))
-	return m.WaitReady(ctx)
+	if err := m.WaitReady(ctx); err != nil {
+		return err
+	}
+	return m.WaitUpstreams(ctx)
 }
 
 // send sends one request and prints the answer.
