mesh: the demo sends a request again that is still in progress

Cause: beside load TestDemo failed once in a fresh clone (409 in_progress): the demo's second request under a key came before the answer to the first was recorded, which happens after it was sent. The mesh refuses truly and names a time. Change: the demo waits for Retry-After and sends again, for this refusal only, as a caller should.

--- a/baobabmesh/democmd.go
+++ b/baobabmesh/democmd.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	call "github.com/baobabdale/baobabdale/baobabcall"
 	"github.com/baobabdale/baobabdale/baobabemulator"
 	"github.com/baobabdale/baobabdale/baobaboperator"
 )
@@ -114,11 +116,27 @@
 	return m.WaitUpstreams(ctx)
 }
 
-// send sends one request and prints the answer.
+// send sends one request and prints the answer. While the answer to an earlier request under the same key is being
+// recorded, it waits as long as the refusal asks for and sends the request again.
 func send(ctx context.Context, base string, v baobabemulator.DemoRequest) error {
+	for {
+		wait, err := sendOnce(ctx, base, v)
+		if err != nil || wait == 0 {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "send request")
+		case <-time.After(wait):
+		}
+	}
+}
+
+// sendOnce returns after what time the request is to be sent again, or zero.
+func sendOnce(ctx context.Context, base string, v baobabemulator.DemoRequest) (time.Duration, error) {
 	request, err := http.NewRequestWithContext(ctx, v.Method, base+v.Target, strings.NewReader(v.Body))
 	if err != nil {
-		return errors.Wrap(err, "send request")
+		return 0, errors.Wrap(err, "send request")
 	}
 	for name, value := range v.Header {
 		request.Header.Set(name, value)
@@ -126,19 +144,23 @@
 	begin := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return errors.Wrap(err, "send request")
+		return 0, errors.Wrap(err, "send request")
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return errors.Wrap(err, "send request")
+		return 0, errors.Wrap(err, "send request")
 	}
 	fmt.Printf("%s %s -> %d, outcome %s, %v\n    %s\n", v.Method, v.Target, response.StatusCode,
 		response.Header.Get("Baobab-Outcome"), time.Since(begin).Round(10*time.Microsecond), strings.TrimSpace(string(body)))
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("send request: status %d", response.StatusCode)
+	if response.StatusCode == http.StatusOK {
+		return 0, nil
 	}
-	return nil
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if response.Header.Get("Baobab-Refusal") != string(call.ReasonInProgress) || err != nil || seconds <= 0 {
+		return 0, errors.Errorf("send request: status %d", response.StatusCode)
+	}
+	return time.Duration(seconds) * time.Second, nil
 }
 
 func printStatus(ctx context.Context, m *baobabemulator.Mesh) error {
