proof: TestLimits waits until the upstream has two slots

A started upstream gets a quarter of its 6 slots and two only after 1.1 s; since a mesh finds itself sooner the test can come earlier. Ruled out: a limit learnt from answers (the limit of 1 was seen before any held call). Change: the test waits for the two slots that it fills; its checks stay.

--- a/baobabproof/product_test.go
+++ b/baobabproof/product_test.go
@@ -188,6 +188,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(timeout(t))
 	defer cancel()
+	// An upstream that has just started gets a quarter of its 6 slots at first; the calls that are held need two.
+	waitUntil(ctx, t, "two slots", func() bool {
+		limit, ok := metric(t, m.NodesOf("session-records")[0], "baobab_admission_limit")
+		return ok && limit >= 2
+	})
 	slow := make(chan response, 2)
 	for number := range 2 {
 		go func() {
