peer: streams are unblocked before their link ends

Cause: when a session shuts down, yamux wakes the readers and writers of its streams by a closed channel, but marks the streams closed only after the connection's Close has returned and the receive loop has ended. Until then each of them goes round its select without blocking.

Ruled out: closing the connection without waiting for the flush. The goroutine that closes must still run, and TLS adds a closing write of its own.

Change: a link knows its open streams. link.end is the one place where a link ends: called before Read returns its first error to yamux, before the connection is closed for any other reason, and by link.close. It expires the deadlines of all streams, so that each reader and writer returns at once; what was received before can still be read. A stream that is opened on an ended link is expired as well.

--- a/baobabpeer/link.go
+++ b/baobabpeer/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,16 +32,19 @@
 	activeStreams atomic.Int64 // Incremented for outbound streams only under Transport.mu.
 	lastUsed      atomic.Int64 // Monotonic nanoseconds.
 	lastReceived  atomic.Int64 // Time of the last received byte, monotonic nanoseconds.
+
+	streamsMu sync.Mutex
+	streams   map[*Stream]struct{} // Guarded by streamsMu; open streams, nil once the link has ended.
 }
 
 // newLink starts a yamux session on an authenticated connection. linkConn sends the keepalives.
 func newLink(t *Transport, address string, bytes *byteCounters, c net.Conn, dialled bool) (*link, error) {
-	l := &link{transport: t, address: address, bytes: bytes}
+	l := &link{transport: t, address: address, bytes: bytes, streams: map[*Stream]struct{}{}}
 	l.context, l.cancel = context.WithCancel(t.context)
 	l.touch()
 	l.lastReceived.Store(monotonicNanos())
 	o := &t.options
-	conn := newLinkConn(c, bytes, o.keepAlive, l.onClosed)
+	conn := newLinkConn(c, bytes, o.keepAlive, l.end)
 	conn.lastReceived = &l.lastReceived
 	config := &yamux.Config{
 		AcceptBacklog:          o.maxStreams,
@@ -63,12 +67,42 @@
 	return l, nil
 }
 
-// onClosed is called when the connection is closed for any reason.
-func (l *link) onClosed() {
+// end unblocks the readers and writers of all streams, cancels the contexts of the handlers and unregisters the link.
+// Every way in which a link ends calls it before yamux learns of the end or its connection is closed: yamux wakes its
+// readers and writers when a session shuts down, but marks their streams closed only after the connection's Close has
+// returned, and until then they go round without blocking. What a stream has received can still be read.
+func (l *link) end() {
+	l.streamsMu.Lock()
+	streams := l.streams
+	l.streams = nil
+	l.streamsMu.Unlock()
+	for s := range streams {
+		s.expire()
+	}
 	l.cancel()
 	l.transport.removeLink(l)
 }
 
+// addStream registers an open stream. On a link that has ended, the stream is unblocked at once.
+func (l *link) addStream(s *Stream) {
+	l.streamsMu.Lock()
+	ended := l.streams == nil
+	if !ended {
+		l.streams[s] = struct{}{}
+	}
+	l.streamsMu.Unlock()
+	if ended {
+		s.expire()
+	}
+}
+
+// removeStream unregisters a stream that no goroutine reads any more and on which no writer waits for the peer.
+func (l *link) removeStream(s *Stream) {
+	l.streamsMu.Lock()
+	defer l.streamsMu.Unlock()
+	delete(l.streams, s)
+}
+
 func (l *link) touch() { l.lastUsed.Store(monotonicNanos()) }
 
 // silent reports whether nothing was received for silentLinkIntervals, so that the peer is probably unreachable. The
@@ -84,7 +118,10 @@
 }
 
 // close closes the link with all its streams and waits for yamux to stop.
-func (l *link) close() { _ = l.session.Close() }
+func (l *link) close() {
+	l.end()
+	_ = l.session.Close()
+}
 
 // serve accepts streams until the link ends.
 func (l *link) serve(h Handler) {
@@ -96,7 +133,9 @@
 		}
 		if l.activeStreams.Load() >= int64(2*l.transport.options.maxStreams) {
 			l.transport.counters.countRefused(refusedStreams)
-			newStream(l, y, false).Reset()
+			refused := newStream(l, y, false)
+			refused.Reset()
+			l.removeStream(refused)
 			continue
 		}
 		l.activeStreams.Add(1)
@@ -116,6 +155,7 @@
 	s.cancel = cancel
 	first, err := s.receiveFrame()
 	if err != nil {
+		l.removeStream(s)
 		return
 	}
 	s.enqueue(first)
--- a/baobabpeer/linkconn.go
+++ b/baobabpeer/linkconn.go
@@ -41,8 +41,9 @@
 	net.Conn
 	bytes         *byteCounters
 	interval      time.Duration // Of keepalives.
-	onClose       func()
+	onEnd         func()        // Called once, before Read returns its first error or the connection is closed.
 	lastReceived  *atomic.Int64 // Time of the last received byte, monotonic nanoseconds; may be nil.
+	endOnce       sync.Once
 	closeOnce     sync.Once
 	deadlineSetAt time.Time // When the read deadline was last set; used by the reading goroutine only.
 
@@ -56,8 +57,8 @@
 	err            error // First write error; later writes return it.
 }
 
-func newLinkConn(c net.Conn, b *byteCounters, interval time.Duration, onClose func()) *linkConn {
-	l := &linkConn{Conn: c, bytes: b, interval: interval, onClose: onClose}
+func newLinkConn(c net.Conn, b *byteCounters, interval time.Duration, onEnd func()) *linkConn {
+	l := &linkConn{Conn: c, bytes: b, interval: interval, onEnd: onEnd}
 	l.mu.Lock() // The timers must not run before they are set.
 	defer l.mu.Unlock()
 	l.flushTimer = time.AfterFunc(time.Hour, l.onFlushTimer)
@@ -74,15 +75,22 @@
 	if now.Sub(c.deadlineSetAt) > timeout/8 {
 		c.deadlineSetAt = now
 		if err := c.SetReadDeadline(now.Add(timeout)); err != nil {
+			c.endOnce.Do(c.onEnd)
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Read(b)
 	c.bytes.linkIn.Add(n)
-	if n > 0 && c.lastReceived != nil {
-		c.lastReceived.Store(monotonicNanos())
+	if n > 0 {
+		if c.lastReceived != nil {
+			c.lastReceived.Store(monotonicNanos())
+		}
+		return n, nil // The next Read returns the error, once yamux has delivered these bytes.
+	}
+	if err != nil {
+		c.endOnce.Do(c.onEnd)
 	}
-	return n, err
+	return 0, err
 }
 
 // Write implements net.Conn. A header may be buffered for up to 1 ms.
@@ -178,6 +186,7 @@
 
 // Close implements net.Conn. Yamux calls it once when the session ends for any reason. It waits for a running flush.
 func (c *linkConn) Close() error {
+	c.endOnce.Do(c.onEnd)
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
 		c.mu.Lock()
@@ -185,7 +194,6 @@
 		c.flushTimer.Stop()
 		c.keepAliveTimer.Stop()
 		c.mu.Unlock()
-		c.onClose()
 	})
 	return err
 }
--- a/baobabpeer/stream.go
+++ b/baobabpeer/stream.go
@@ -62,9 +62,17 @@
 func newStream(l *link, y *yamux.Stream, outbound bool) *Stream {
 	s := &Stream{link: l, yamux: y, outbound: outbound}
 	s.changed.L = &s.mu
+	l.addStream(s)
 	return s
 }
 
+// expire unblocks the reader and the writer of the stream for good, because its link has ended. Received frames can
+// still be read.
+func (s *Stream) expire() {
+	_ = s.yamux.SetReadDeadline(expiredDeadline)
+	_ = s.yamux.SetWriteDeadline(expiredDeadline)
+}
+
 // Address returns the dialled address or, on the accepting side, the remote address.
 func (s *Stream) Address() string { return s.link.address }
 
@@ -328,11 +336,16 @@
 // handler is busy. It reports whether the transport is still open.
 func (s *Stream) startReadAhead() bool {
 	s.readingAhead = true
-	return s.link.transport.spawn(s.readAhead)
+	if !s.link.transport.spawn(s.readAhead) {
+		s.link.removeStream(s)
+		return false
+	}
+	return true
 }
 
 // readAhead reads until the peer closes the stream, so that the peer's writer does not stay blocked.
 func (s *Stream) readAhead() {
+	defer s.link.removeStream(s)
 	for {
 		f, err := s.receiveFrame()
 		if err != nil {
@@ -425,7 +438,9 @@
 		if s.stopWatching != nil {
 			s.stopWatching()
 		}
-		if !s.outbound {
+		if s.outbound {
+			s.link.removeStream(s)
+		} else {
 			_ = s.Close()
 		}
 		s.link.releaseStream()
