caller: requests of one connection are served while others before them are unanswered

Ruled out: an HTTP server of our own (framing, limits and closing of net/http would all have to be built and proved again); splitting a connection into several virtual ones (their answers would have to be parsed to be put in order).

Change: a connection hands net/http the bytes of one request at a time (requestScanner: only what any two parsers read alike). While that request is served, net/http waits on the connection for the caller to leave; this wait now reads the requests behind and hands on those that readAhead lets go before their turn: simple ones that may run again, with nothing before them that may not, up to read_ahead_requests and read_ahead_size. net/http then reads each request in its turn and finds its answer, so framing and order stay with net/http. Deadlines count from the arrival. Up to 64 KiB of an answer are held within body_memory, so that the upstream's slot is free at once. When the caller leaves, all calls of the connection are cancelled; a stopping node answers what it has handed on, and the last of these answers closes. A request with both a length and chunks is refused. A refusal of a request without a body no longer closes the connection. Counters for requests handed on, stops at each limit, cancelled calls; a log line for the last.

--- a/baobabcaller/answer.go
+++ b/baobabcaller/answer.go
@@ -26,17 +26,17 @@
 
 // writeAnswer streams the answer to the caller. It aborts the connection when the body is truncated, so that the caller
 // cannot take an incomplete answer for a complete one.
-func (h *Handler) writeAnswer(w http.ResponseWriter, r *http.Request, a *call.Answer) {
+func (h *Handler) writeAnswer(w http.ResponseWriter, r *http.Request, conn *pipelinedConn, a *call.Answer) {
 	defer closeBody(a)
 	header := w.Header()
 	for name, values := range h.forwardableHeader(a.Header()) {
 		header[name] = values
 	}
 	if !r.ProtoAtLeast(1, 1) && header.Get("Content-Length") == "" && hasBody(r, a) {
-		h.writeBuffered(w, a)
+		h.writeBuffered(w, conn, a)
 		return
 	}
-	h.writeAnswerHeader(w, a.Status())
+	h.writeAnswerHeader(w, conn, a.Status())
 	if !hasBody(r, a) {
 		return
 	}
@@ -50,8 +50,14 @@
 	return a.Status() != http.StatusNoContent && a.Status() != http.StatusNotModified
 }
 
-func (h *Handler) writeAnswerHeader(w http.ResponseWriter, status int) {
-	if h.draining.Load() {
+// closesConnection reports whether an answer asks the caller to close its connection: while the node drains, unless
+// requests that were handed on wait for their turn behind it.
+func (h *Handler) closesConnection(conn *pipelinedConn) bool {
+	return h.draining.Load() && conn.answersWaiting() == 0
+}
+
+func (h *Handler) writeAnswerHeader(w http.ResponseWriter, conn *pipelinedConn, status int) {
+	if h.closesConnection(conn) {
 		w.Header().Set("Connection", "close")
 	}
 	h.extendWriteDeadline(w)
@@ -62,7 +68,7 @@
 
 // writeBuffered reads the complete answer before it sends anything: HTTP/1.0 has no chunked encoding, so a caller could
 // not tell a truncated answer of unknown length from a complete one.
-func (h *Handler) writeBuffered(w http.ResponseWriter, a *call.Answer) {
+func (h *Handler) writeBuffered(w http.ResponseWriter, conn *pipelinedConn, a *call.Answer) {
 	var b bytes.Buffer
 	n, err := b.ReadFrom(io.LimitReader(a.Body(), h.maxBodyBytes+1))
 	if err != nil || n > h.maxBodyBytes {
@@ -70,12 +76,12 @@
 		id := w.Header().Get(h.headerNames.Name(call.FieldCallID))
 		clear(w.Header())
 		h.setField(w.Header(), call.FieldCallID, id)
-		h.writeRefusal(w, call.NewRefusal(call.ReasonAnswerLost, call.OutcomeUnknown,
+		h.writeRefusal(w, conn, call.NewRefusal(call.ReasonAnswerLost, call.OutcomeUnknown,
 			"answer is incomplete or too large for HTTP/1.0"))
 		return
 	}
 	w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
-	h.writeAnswerHeader(w, a.Status())
+	h.writeAnswerHeader(w, conn, a.Status())
 	_, _ = w.Write(b.Bytes())
 }
 
--- a/baobabcaller/conntracker.go
+++ b/baobabcaller/conntracker.go
@@ -55,7 +55,7 @@
 	c.mu.Unlock()
 	for conn, since := range idle {
 		// A connection on which a request is being read stays open.
-		if cc, ok := conn.(*countingConn); ok && !cc.closeReadIfIdle(since) {
+		if cc, ok := conn.(interface{ closeReadIfIdle(time.Time) bool }); ok && !cc.closeReadIfIdle(since) {
 			continue
 		}
 		_ = conn.Close()
--- a/baobabcaller/countinglistener.go
+++ b/baobabcaller/countinglistener.go
@@ -18,7 +18,7 @@
 // A countingListener counts the requests that net/http's server rejects before they reach the handler.
 type countingListener struct {
 	net.Listener
-	metrics *handlerMetrics
+	handler *Handler
 }
 
 // Accept implements net.Listener.
@@ -31,7 +31,11 @@
 	if !ok {
 		return c, nil
 	}
-	return &countingConn{TCPConn: t, metrics: l.metrics}, nil
+	counting := &countingConn{TCPConn: t, metrics: l.handler.metrics}
+	if l.handler.readAhead.requests <= 0 {
+		return counting, nil
+	}
+	return newPipelinedConn(counting, l.handler), nil
 }
 
 // A countingConn detects net/http's own error responses at the start of each write. Its reading side can be closed while
--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -1,6 +1,7 @@
 package baobabcaller
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,10 @@
 	callerService     string // Sent upstream in FieldCallerService if that has a name.
 	refusalStatus     func(*call.Refusal) int
 	formatRetryAfter  func(time.Duration) string
+	readAhead         readAheadLimits
+	mayRepeat         func(now time.Time, c *call.Call) bool // Whether a call may run more than once.
+	onAheadCancelled  func(reason string, n int)
+	spawn             func(func()) bool // Runs a function in a goroutine that the server waits for; false when it stops.
 	inProgress        atomic.Int64
 	draining          atomic.Bool // Each answer asks the caller to close its connection.
 }
@@ -66,6 +71,20 @@
 // WithMetrics sets the metrics set in which the handler's metrics are registered.
 func WithMetrics(s *metrics.Set) Option { return func(h *Handler) { h.metrics = newHandlerMetrics(s) } }
 
+// WithReadAhead hands on up to requests requests of a connection while others before them are unanswered, and reads up to
+// bytes bytes ahead. Only calls for which mayRepeat returns true go before their turn.
+func WithReadAhead(requests, bytes int, mayRepeat func(now time.Time, c *call.Call) bool) Option {
+	return func(h *Handler) {
+		h.readAhead, h.mayRepeat = readAheadLimits{requests: requests, bytes: bytes}, mayRepeat
+	}
+}
+
+// WithAheadCancelledHandler sets a function that is called when n calls that were handed on before their turn are
+// cancelled, because their connection ends. It must not block.
+func WithAheadCancelledHandler(f func(reason string, n int)) Option {
+	return func(h *Handler) { h.onAheadCancelled = f }
+}
+
 // WithClock replaces time.Now.
 func WithClock(now func() time.Time) Option { return func(h *Handler) { h.clock = now } }
 
@@ -97,6 +116,9 @@
 		headerNames:      call.DefaultHeaderNames(),
 		refusalStatus:    defaultRefusalStatus,
 		formatRetryAfter: retryAfterSeconds,
+		mayRepeat:        func(time.Time, *call.Call) bool { return false },
+		onAheadCancelled: func(string, int) {},
+		spawn:            func(func()) bool { return false },
 	}
 	for _, o := range options {
 		o(h)
@@ -112,7 +134,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodConnect || r.URL.Path == "" || r.URL.Path[0] != '/' {
 		h.setField(w.Header(), call.FieldCallID, h.ids.next())
-		h.writeRefusal(w, notRunRefusal(call.ReasonMalformed, "request target must be a path"))
+		h.writeRefusal(w, connOf(r), notRunRefusal(call.ReasonMalformed, "request target must be a path"))
 		return
 	}
 	h.mux.ServeHTTP(w, r)
@@ -136,33 +158,105 @@
 }
 
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
+	conn := connOf(r)
+	if a := conn.begin(r); a != nil {
+		h.serveAhead(w, r, conn, a)
+		return
+	}
 	now := h.clock()
 	id := h.callID(r)
 	h.setField(w.Header(), call.FieldCallID, id)
 	defer h.inProgress.Add(-1)
 	if h.inProgress.Add(1) > h.maxCalls && h.maxCalls > 0 {
-		w.Header().Set("Connection", "close")
-		h.writeRefusal(w, notRunRefusal(call.ReasonQueueFull, "%d calls are in progress at this node", h.maxCalls).
+		h.refuseUnread(w, r, conn, notRunRefusal(call.ReasonQueueFull, "%d calls are in progress at this node", h.maxCalls).
 			WithRetryAfter(time.Second))
 		return
 	}
+	ambiguous, unclear := conn.malformed()
+	if ambiguous {
+		w.Header().Set("Connection", "close")
+		h.writeRefusal(w, conn, notRunRefusal(call.ReasonMalformed, "request has both a length and chunks"))
+		return
+	}
+	if unclear {
+		w.Header().Set("Connection", "close")
+	}
 	c, refusal := h.readCall(w, r, now, id)
 	if refusal != nil {
-		// The rest of the body may be unread, so the connection cannot carry another request.
-		w.Header().Set("Connection", "close")
-		h.writeRefusal(w, refusal)
+		h.refuseUnread(w, r, conn, refusal)
 		return
 	}
 	defer h.bodyMemory.Release(int64(len(c.Body())))
-	defer func() { h.metrics.observeDuration(c.Rank(), h.clock().Sub(now)) }()
+	conn.serve(r, c)
 	answer, refusal := h.callServer.Serve(r.Context(), now, c)
+	h.finishCall(w, r, conn, c, now, answer, refusal)
+}
+
+// refuseUnread refuses a request that may have an unread body, after which its connection cannot carry another request.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, conn *pipelinedConn, refusal *call.Refusal) {
+	if r.Body != nil && r.Body != http.NoBody {
+		w.Header().Set("Connection", "close")
+	}
+	h.writeRefusal(w, conn, refusal)
+}
+
+// finishCall writes the answer or the refusal of a call that arrived at a time.
+func (h *Handler) finishCall(w http.ResponseWriter, r *http.Request, conn *pipelinedConn, c *call.Call, arrived time.Time,
+	answer *call.Answer, refusal *call.Refusal) {
+	defer func() { h.metrics.observeDuration(c.Rank(), h.clock().Sub(arrived)) }()
 	if refusal == nil && (answer == nil || !validStatus(answer.Status())) {
 		refusal = call.NewRefusal(call.ReasonUpstreamFailed, call.OutcomeUnknown, "upstream gave no valid answer")
 	}
 	if refusal != nil {
 		closeBody(answer)
-		h.writeRefusal(w, refusal)
+		h.writeRefusal(w, conn, refusal)
 		return
 	}
-	h.writeAnswer(w, r, answer)
+	h.writeAnswer(w, r, conn, answer)
+}
+
+// newAheadCall returns the call of a request that was read ahead, or nil if it must wait for its turn.
+func (h *Handler) newAheadCall(number int, raw []byte, remoteAddress string) *aheadCall {
+	now := h.clock()
+	r := readAheadRequest(raw, remoteAddress)
+	if r == nil || r.Body != nil && r.Body != http.NoBody {
+		return nil
+	}
+	c, refusal := h.readCall(nil, r, now, h.callID(r))
+	if refusal != nil || !h.mayRepeat(now, c) {
+		return nil
+	}
+	return &aheadCall{number: number, request: r, arrived: now, call: c, memory: h.bodyMemory, done: make(chan struct{})}
+}
+
+// startAhead serves a call before its turn. It returns false when the node serves no further call now.
+func (h *Handler) startAhead(ctx context.Context, a *aheadCall) bool {
+	if h.inProgress.Add(1) > h.maxCalls && h.maxCalls > 0 {
+		h.inProgress.Add(-1)
+		return false
+	}
+	started := h.spawn(func() {
+		defer h.inProgress.Add(-1)
+		a.run(ctx, h.callServer)
+	})
+	if !started {
+		h.inProgress.Add(-1)
+		return false
+	}
+	h.metrics.aheadHandedOn.Inc()
+	return true
+}
+
+// serveAhead writes the answer of a call that was handed on before its turn.
+func (h *Handler) serveAhead(w http.ResponseWriter, r *http.Request, conn *pipelinedConn, a *aheadCall) {
+	h.setField(w.Header(), call.FieldCallID, a.call.ID())
+	conn.handOn()
+	select {
+	case <-a.done:
+	case <-r.Context().Done():
+		a.cancel()
+		<-a.done
+	}
+	defer a.release()
+	h.finishCall(w, r, conn, a.call, a.arrived, a.answer, a.refusal)
 }
--- a/baobabcaller/handlermetrics.go
+++ b/baobabcaller/handlermetrics.go
@@ -21,6 +21,11 @@
 	truncated       *metrics.Counter
 	callerGone      *metrics.Counter
 
+	aheadHandedOn        *metrics.Counter // Requests handed on while others before them were unanswered.
+	aheadStoppedRequests *metrics.Counter // Times that a connection reached its limit of requests handed on.
+	aheadStoppedBytes    *metrics.Counter // Times that a connection reached its limit of bytes read ahead.
+	aheadMismatched      *metrics.Counter // Requests that the HTTP server read differently.
+
 	mu    sync.Mutex
 	ranks map[string]bool // At most maxRankLabels entries.
 }
@@ -33,6 +38,11 @@
 		truncated:       set.GetOrCreateCounter(`baobab_caller_aborted_total{cause="truncated"}`),
 		callerGone:      set.GetOrCreateCounter(`baobab_caller_aborted_total{cause="caller_gone"}`),
 		ranks:           map[string]bool{},
+
+		aheadHandedOn:        set.GetOrCreateCounter(`baobab_caller_ahead_handed_on_total`),
+		aheadStoppedRequests: set.GetOrCreateCounter(`baobab_caller_ahead_stopped_total{limit="requests"}`),
+		aheadStoppedBytes:    set.GetOrCreateCounter(`baobab_caller_ahead_stopped_total{limit="bytes"}`),
+		aheadMismatched:      set.GetOrCreateCounter(`baobab_caller_ahead_mismatched_total`),
 	}
 	m.answerCounter(call.OutcomeRan)
 	for _, r := range call.Reasons() {
@@ -52,6 +62,11 @@
 	return []call.Outcome{call.OutcomeNotRun, call.OutcomeUnknown}
 }
 
+// aheadCancelled counts calls that were handed on before their turn and cancelled.
+func (m *handlerMetrics) aheadCancelled(reason string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("baobab_caller_ahead_cancelled_total{reason=%q}", reason))
+}
+
 func (m *handlerMetrics) answerCounter(o call.Outcome) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("baobab_caller_answers_total{outcome=%q}", o))
 }
--- a/baobabcaller/httpserver.go
+++ b/baobabcaller/httpserver.go
@@ -38,6 +38,7 @@
 	mu        sync.Mutex
 	listeners []net.Listener // Guarded by mu.
 	closing   bool           // Guarded by mu; Shutdown closes the listeners.
+	closed    bool           // Guarded by mu; Shutdown has closed the connections.
 }
 
 // HTTPServerOption sets an optional property of an HTTPServer.
@@ -56,20 +57,41 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    handler.maxHeaderBytes + headerSlackBytes,
-		ConnState:         func(c net.Conn, state http.ConnState) { s.connections.track(time.Now(), c, state) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if p, ok := c.(*pipelinedConn); ok {
+				return p.attach(ctx)
+			}
+			return ctx
+		},
+		ConnState: func(c net.Conn, state http.ConnState) { s.connections.track(time.Now(), c, state) },
 	}
 	for _, o := range options {
 		o(s)
 	}
+	handler.spawn = s.spawn
 	return s
 }
 
+// spawn runs f in a goroutine that Shutdown waits for. It returns false when the server has closed its connections.
+func (s *HTTPServer) spawn(f func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.tomb.Go(func() error {
+		f()
+		return nil
+	})
+	return true
+}
+
 // Start accepts connections on the listeners and takes ownership of them.
 func (s *HTTPServer) Start(listeners ...net.Listener) {
 	// This goroutine keeps the tomb alive until Shutdown, so that a server without listeners can stop.
 	s.tomb.Go(func() error {
 		for _, l := range listeners {
-			l = &countingListener{Listener: l, metrics: s.handler.metrics}
+			l = &countingListener{Listener: l, handler: s.handler}
 			s.addListener(l)
 			s.tomb.Go(func() error { return s.serveListener(l) })
 		}
@@ -130,6 +152,9 @@
 	s.closeListeners()
 	err := s.connections.drain(ctx, quietPeriod)
 	_ = s.server.Close()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.tomb.Kill(nil)
 	if werr := s.tomb.Wait(); werr != nil && err == nil {
 		return werr
--- a/baobabcaller/refusal.go
+++ b/baobabcaller/refusal.go
@@ -16,7 +16,7 @@
 	Detail  string       `json:"detail"`
 }
 
-func (h *Handler) writeRefusal(w http.ResponseWriter, r *call.Refusal) {
+func (h *Handler) writeRefusal(w http.ResponseWriter, conn *pipelinedConn, r *call.Refusal) {
 	h.extendWriteDeadline(w)
 	h.metrics.refusalCounter(r.Reason(), r.Outcome()).Inc()
 	header := w.Header()
@@ -27,7 +27,7 @@
 	if r.RetryAfter() > 0 {
 		header.Set("Retry-After", h.formatRetryAfter(r.RetryAfter()))
 	}
-	if h.draining.Load() {
+	if h.closesConnection(conn) {
 		header.Set("Connection", "close")
 	}
 	w.WriteHeader(h.refusalStatus(r))
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -75,6 +75,17 @@
 	return g.serve(ctx, r)
 }
 
+// MayRepeat reports whether a call may run more than once by the configuration in force, so that it may be served before
+// its turn on a connection.
+func (g *Ingress) MayRepeat(_ time.Time, c *call.Call) bool {
+	active := g.board.ActiveConfiguration()
+	if active == nil {
+		return false
+	}
+	rt, _, ok := active.View().Match(c.Host(), c.Method(), pathWithoutQuery(c.Target()))
+	return ok && rt.Idempotent(c.Method()) && c.IdempotencyKey() == ""
+}
+
 // route matches the route of a call and determines its service, rank, deadline and retry limits.
 func (g *Ingress) route(now time.Time, c *call.Call) (*routedCall, *call.Refusal) {
 	if ready, reason := g.ready.Ready(now); !ready {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -228,6 +228,10 @@
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
 		caller.WithMaxHeaderBytes(int(s.Limits().MaxHeaderSize().Bytes())),
 		caller.WithMaxCalls(s.Limits().MaxCalls()),
+		caller.WithReadAhead(s.Limits().ReadAheadRequests(), int(s.Limits().ReadAheadSize().Bytes()), ingress.MayRepeat),
+		caller.WithAheadCancelledHandler(func(reason string, count int) {
+			ingress.decisions.write(n.now(), "calls before their turn cancelled", "reason", reason, "calls", count)
+		}),
 		caller.WithBodyMemory(call.NewBodyMemory(s.Limits().BodyMemory().Bytes())),
 		caller.WithCallerService(s.Upstream().Service()),
 		caller.WithMetrics(n.metrics),
--- a/baobabsettings/limits.go
+++ b/baobabsettings/limits.go
@@ -6,6 +6,8 @@
 	maxBodySize    Size
 	maxMessageSize Size
 	maxCalls       int
+	aheadRequests  int
+	aheadSize      Size
 	bodyMemory     Size
 	heapSize       Size
 	heapGrowth     int // Percent.
@@ -17,6 +19,8 @@
 		maxBodySize:    r.size("limits", "max_body_size", MiB, KiB, GiB),
 		maxMessageSize: r.size("limits", "max_message_size", 16*MiB, 64*KiB, 256*MiB),
 		maxCalls:       r.integer("limits", "max_calls", 4096, 1, 1<<20),
+		aheadRequests:  r.integer("limits", "read_ahead_requests", 16, 0, 1024),
+		aheadSize:      r.size("limits", "read_ahead_size", 16*KiB, KiB, MiB),
 		heapGrowth:     r.integer("limits", "heap_growth_percent", 400, 10, 10_000),
 		bodyMemory:     r.size("limits", "body_memory", 256*MiB, KiB, 64*GiB),
 		heapSize:       r.size("limits", "heap_size", 16*MiB, 4*MiB, 64*GiB),
@@ -35,6 +39,13 @@
 // MaxCalls returns the largest number of calls from callers that are in progress at the same time.
 func (l Limits) MaxCalls() int { return l.maxCalls }
 
+// ReadAheadRequests returns the largest number of requests on one connection that are served while others before them are
+// unanswered. Zero serves the requests of a connection one after another.
+func (l Limits) ReadAheadRequests() int { return l.aheadRequests }
+
+// ReadAheadSize returns how much is read ahead on one connection.
+func (l Limits) ReadAheadSize() Size { return l.aheadSize }
+
 // HeapSize returns the memory limit of the Go runtime, near which garbage collections become more frequent.
 func (l Limits) HeapSize() Size { return l.heapSize }
 
