route, admission, node: a call asks for a free slot before it queues

Cause: with about a hundred entries, each sends a handful of calls a second to a service, so that what an entry knows of an endpoint is older than a call lasts; two choices by it place little better than one at random.

Change: OfferPlan decides the endpoints of a call. Up to two near endpoints are asked to take it only if a slot is free for it, and refuse it at once otherwise (no_free_slot, not run, between nodes only; an older node ignores the flag and queues the call). Then it queues at the better of the two, whose loads the refusals have just reported. While the nearest tier is overloaded one farther endpoint is asked for a free slot. Such refusals take no retry budget and no attempt.

--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -91,6 +91,9 @@
 	if ctx.Err() != nil {
 		return nil, g.countRefusal(r, contextRefusal(ctx))
 	}
+	if r.freeSlotOnly && !g.queue.FreeSlot(now, r.rank, NewSlotUsage(g.limiter.Limit(now), g.inFlightByRank)) {
+		return nil, g.countRefusal(r, call.NewRefusal(call.ReasonNoFreeSlot, call.OutcomeNotRun, "no slot is free"))
+	}
 	s := NewUpstreamStats(g.limiter.Limit(now), g.inFlight, g.limiter.MeanLatency(), g.limiter.MinServiceTime(r.kind)).
 		WithExpectedLatency(g.limiter.ExpectedLatency(r.kind))
 	e, drops, refusal := g.queue.Offer(now, r, s)
--- a/baobabadmission/gate_test.go
+++ b/baobabadmission/gate_test.go
@@ -197,3 +197,33 @@
 		})
 	}
 }
+
+// TestFreeSlotOnly guards against a call that asks for a free slot and waits, takes a slot that is reserved or due to
+// another, or counts as refused although a slot is free.
+func TestFreeSlotOnly(t *testing.T) {
+	now := time.Now()
+	g := NewGate(WithPolicy(NewPolicy([]Rank{NewRank("urgent", 0, 0, 0), NewRank("late", 1, 0, 0)}, 10, 0)), WithWarmUp(0, 1))
+	g.Announce(now, 2, 10, time.Time{})
+	ask := func(rank string) (*Permit, *call.Refusal) {
+		return g.Acquire(t.Context(), now, NewRequest(rank, "a", now.Add(time.Hour), "").WithFreeSlotOnly())
+	}
+	first, refusal := ask("late")
+	if refusal != nil {
+		t.Fatalf("two free slots: %v", refusal)
+	}
+	if _, refusal = ask("urgent"); refusal != nil {
+		t.Fatalf("one free slot: %v", refusal)
+	}
+	_, refusal = ask("urgent")
+	if refusal == nil || refusal.Reason() != call.ReasonNoFreeSlot || refusal.Outcome() != call.OutcomeNotRun {
+		t.Fatalf("no free slot: %v", refusal)
+	}
+	waiting := acquireAsync(t.Context(), t, g, NewRequest("late", "b", now.Add(time.Hour), ""))
+	if n := g.Load(now).Queued(); n != 1 {
+		t.Errorf("%d calls wait, want the one that may wait", n)
+	}
+	first.Release(now, OutcomeSucceeded)
+	if refusal := receiveResult(t, waiting); refusal != nil {
+		t.Errorf("the waiting call: %v", refusal)
+	}
+}
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -239,6 +239,21 @@
 	return nil, drops
 }
 
+// FreeSlot reports whether a request of the rank would be granted a permit at once: a slot is free that is not reserved
+// for more urgent ranks, and nobody waits who would go first.
+func (q *Queue) FreeSlot(now time.Time, rankName string, usage SlotUsage) bool {
+	rank := q.policy.rankIndex(rankName)
+	if usage.free <= 0 {
+		return false
+	}
+	for i, r := range q.ranks {
+		if r.length > 0 && (i <= rank || q.creditAtGrant(i) >= 1) {
+			return false
+		}
+	}
+	return usage.idle() || !q.slotsReserved(now, rank, usage)
+}
+
 // lateRefusal returns a refusal when the deadline has passed or leaves less than the least service time, and nil
 // otherwise.
 func lateRefusal(e *Entry, now time.Time, minService time.Duration) *call.Refusal {
--- a/baobabadmission/request.go
+++ b/baobabadmission/request.go
@@ -8,6 +8,8 @@
 	caller   string
 	deadline time.Time // Zero means none.
 	kind     string
+
+	freeSlotOnly bool
 }
 
 // NewRequest returns a request. The kind groups calls of similar cost, for example by route. Latencies are compared only
@@ -16,6 +18,12 @@
 	return Request{rank: rank, caller: caller, deadline: deadline, kind: kind}
 }
 
+// WithFreeSlotOnly returns a copy that is refused as no_free_slot unless a slot is free for it on arrival.
+func (r Request) WithFreeSlotOnly() Request {
+	r.freeSlotOnly = true
+	return r
+}
+
 // Rank returns the name of the rank.
 func (r Request) Rank() string { return r.rank }
 
--- a/baobabcall/refusal.go
+++ b/baobabcall/refusal.go
@@ -20,6 +20,7 @@
 	ReasonKeyRequired         Reason = "key_required"
 	ReasonKeyReused           Reason = "key_reused"
 	ReasonMalformed           Reason = "malformed"
+	ReasonNoFreeSlot          Reason = "no_free_slot" // Between nodes only.
 	ReasonNoRoute             Reason = "no_route"
 	ReasonNoUpstream          Reason = "no_upstream"
 	ReasonNotReady            Reason = "not_ready"
@@ -38,7 +39,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonAnswerLost, ReasonCallerShare, ReasonDeadlinePassed, ReasonDeadlineUnmeetable, ReasonDraining,
-		ReasonInProgress, ReasonKeyRequired, ReasonKeyReused, ReasonMalformed, ReasonNoRoute, ReasonNoUpstream,
+		ReasonInProgress, ReasonKeyRequired, ReasonKeyReused, ReasonMalformed, ReasonNoFreeSlot, ReasonNoRoute, ReasonNoUpstream,
 		ReasonNotReady, ReasonOverSize, ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull,
 		ReasonRetryBudget, ReasonStoreUnavailable, ReasonUpstreamFailed, ReasonUpstreamShed,
 		ReasonUpstreamUnavailable,
@@ -76,7 +77,7 @@
 // temporary reports whether the same call may succeed after waiting, without any change to it.
 func (r Reason) temporary() bool {
 	switch r {
-	case ReasonCallerShare, ReasonDeadlineUnmeetable, ReasonDraining, ReasonInProgress, ReasonNoUpstream, ReasonNotReady,
+	case ReasonCallerShare, ReasonDeadlineUnmeetable, ReasonDraining, ReasonInProgress, ReasonNoFreeSlot, ReasonNoUpstream, ReasonNotReady,
 		ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull, ReasonRetryBudget, ReasonStoreUnavailable,
 		ReasonUpstreamShed, ReasonUpstreamUnavailable:
 		return true
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -41,6 +41,8 @@
 	rank       string
 	deadline   time.Time // On this node's clock.
 	idempotent bool
+	// freeSlotOnly makes the admitting node refuse the call at once unless a slot is free for it.
+	freeSlotOnly bool
 }
 
 // needsClaim reports whether the call must claim its idempotency key before it runs.
@@ -141,6 +143,9 @@
 // upstream answered, the answer is recorded in the claim once it has been read.
 func (a *Admitter) execute(ctx context.Context, r *admissionRequest, granted *claim.Granted) (*call.Answer, *call.Refusal) {
 	request := admission.NewRequest(r.rank, r.call.Caller(), r.deadline, r.call.Method()+" "+firstPathSegment(r.call.Target()))
+	if r.freeSlotOnly {
+		request = request.WithFreeSlotOnly()
+	}
 	permit, refusal := a.gate.Acquire(ctx, a.now(), request)
 	if refusal != nil {
 		a.releaseClaim(granted)
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -127,24 +127,33 @@
 	defer g.randomPool.Put(random)
 	r.budget.RecordCall(g.now())
 	start := g.now()
-	tried := make(map[string]bool, r.maxAttempts)
+	plan := g.chooser.NewOfferPlan(random, r.candidates)
 	var lastRefusal *call.Refusal
 	upstreamAttempts := 0 // Attempts that may have reached an upstream.
 	lastEndpoint := ""
 	for number := 1; ; number++ {
-		candidate, refusal := g.chooser.Choose(g.now(), random, r.candidates, func(id string) bool { return tried[id] })
+		offer, refusal := plan.Next(g.now())
 		if refusal != nil {
 			if lastRefusal != nil {
 				refusal = lastRefusal
 			}
 			return nil, g.logRefusal(r, refusal, lastEndpoint, number-1, route.StopUseless)
 		}
-		tried[candidate.ID()] = true
+		candidate := offer.Candidate()
 		lastEndpoint = candidate.ID()
+		// A claim is written before the call asks for a slot, so such a call queues at once.
+		r.request.freeSlotOnly = offer.FreeSlotOnly() && !r.request.needsClaim()
 		result := g.attempt(ctx, r, candidate, number)
 		if result.answer != nil {
 			return g.logIfLate(r, result.answer, candidate, start, number), nil
 		}
+		if hasNoFreeSlot(result) && ctx.Err() == nil {
+			g.retryCounters.countRetry(route.RetryNoFreeSlot)
+			plan.RecordBusy(offer)
+			number--
+			continue
+		}
+		plan.RecordFailure(offer)
 		lastRefusal = combineRefusals(lastRefusal, result.refusal)
 		if ctx.Err() != nil {
 			// The caller is gone, so the failure does not charge the retry budget.
@@ -169,6 +178,11 @@
 	}
 }
 
+// hasNoFreeSlot reports whether an endpoint that was asked for a free slot has none.
+func hasNoFreeSlot(result attemptResult) bool {
+	return result.refusal != nil && result.refusal.Reason() == call.ReasonNoFreeSlot
+}
+
 // logIfLate returns the answer with a body that, when closed, logs the endpoint and the number of dispatches if the
 // call took longer than the latency target of its rank.
 func (g *Ingress) logIfLate(r *routedCall, a *call.Answer, candidate route.Candidate, start time.Time,
--- a/baobabnode/wirecall.go
+++ b/baobabnode/wirecall.go
@@ -60,6 +60,7 @@
 		IdempotencyKey: c.IdempotencyKey(),
 		BodySize:       int64(len(c.Body())),
 		Retried:        c.Retried(),
+		FreeSlotOnly:   r.freeSlotOnly,
 	}
 }
 
@@ -93,11 +94,12 @@
 		options = append(options, call.WithRetried())
 	}
 	return &admissionRequest{
-		call:       call.NewCall(m.GetId(), m.GetCaller(), m.GetMethod(), m.GetHost(), m.GetTarget(), options...),
-		service:    m.GetService(),
-		rank:       m.GetRank(),
-		deadline:   now.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond),
-		idempotent: m.GetIdempotent(),
+		call:         call.NewCall(m.GetId(), m.GetCaller(), m.GetMethod(), m.GetHost(), m.GetTarget(), options...),
+		service:      m.GetService(),
+		rank:         m.GetRank(),
+		deadline:     now.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond),
+		idempotent:   m.GetIdempotent(),
+		freeSlotOnly: m.GetFreeSlotOnly(),
 	}, nil
 }
 
--- a/baobabroute/candidateset.go
+++ b/baobabroute/candidateset.go
@@ -56,6 +56,20 @@
 // Candidates returns the endpoints sorted by id; the caller must not modify the slice.
 func (s *CandidateSet) Candidates() []Candidate { return s.candidates }
 
+// nearAndOther returns the indexes of the endpoints in the nearest tier that has any, and of those in the next one.
+func (s *CandidateSet) nearAndOther() (near, other []int) {
+	for _, tier := range s.tiers {
+		switch {
+		case len(tier) == 0:
+		case near == nil:
+			near = tier
+		default:
+			return near, tier
+		}
+	}
+	return near, nil
+}
+
 func (s *CandidateSet) contains(id string) bool {
 	_, ok := s.indexByID[id]
 	return ok
--- a/baobabroute/retry.go
+++ b/baobabroute/retry.go
@@ -19,13 +19,16 @@
 
 // Retry reasons, sorted.
 const (
-	RetryLost    RetryReason = "lost"     // Outcome unknown, call idempotent.
-	RetryNotSent RetryReason = "not_sent" // Certainly not started.
-	RetryRefused RetryReason = "refused"  // Refused as not run.
+	RetryLost       RetryReason = "lost"         // Outcome unknown, call idempotent.
+	RetryNoFreeSlot RetryReason = "no_free_slot" // Asked for a free slot only, and refused; takes no budget.
+	RetryNotSent    RetryReason = "not_sent"     // Certainly not started.
+	RetryRefused    RetryReason = "refused"      // Refused as not run.
 )
 
 // RetryReasons returns all retry reasons, sorted.
-func RetryReasons() []RetryReason { return []RetryReason{RetryLost, RetryNotSent, RetryRefused} }
+func RetryReasons() []RetryReason {
+	return []RetryReason{RetryLost, RetryNoFreeSlot, RetryNotSent, RetryRefused}
+}
 
 // StopReason is the reason why a call is not retried. Each has a counter.
 type StopReason string
