upstream: second copies without an id, and refusals whose body never ends

Cause: two of the failures that operators told us of can happen here. (1) The second copy of an answer, sent late on a connection in use again, was taken for the answer to the next call when it bore no id: TestSecondCopyOfAnswer got "c0" for call c1, and a copy with a refusal made the call refused as not run although it ran. (2) A call that its upstream refused as not run was held until its deadline when the refusal's body came one byte at a time: TestEndlessBytes, refused after 500 ms of 500.

Ruled out: endless heads, header lines, 1xx responses, chunk sizes, chunk extensions, trailers and bodies end with the true outcome by the deadline already (17 cases, fast and slow).

Change: where ids are echoed, an answer without one counts only as the first on its connection. The rest of a refusal is read for 20 ms at most.

--- a/baobabupstream/client.go
+++ b/baobabupstream/client.go
@@ -25,6 +25,7 @@
 	idleConnectionTimeout = 30 * time.Second
 	maxAnswerHeaderBytes  = 64 << 10
 	maxRefusalBodyBytes   = 64 << 10
+	refusalBodyTimeout    = 20 * time.Millisecond
 )
 
 var (
@@ -186,8 +187,10 @@
 		return ConnectionFailed{err: err, reused: a.onReusedConnection()}
 	}
 	if c.notStarted(response) {
-		// Reads the rest so that the connection can be reused.
+		// Reads the rest so that the connection can be reused, unless it comes slowly: the refusal is known already.
+		timer := time.AfterFunc(refusalBodyTimeout, cancel)
 		_, _ = io.CopyN(io.Discard, body, maxRefusalBodyBytes)
+		timer.Stop()
 		_ = body.Close()
 		return Refused{retryAfter: retryAfter(response.Header)}
 	}
@@ -212,7 +215,11 @@
 	// If an upstream answers a request twice, the next call on the connection gets the second answer. Unless ids are
 	// echoed, only ids of this connection count, because an upstream may forward the header of a call of its own.
 	id := response.Header.Get(c.headerNames.Name(call.FieldCallID))
-	if a.isEarlierCall(id) || c.expectEchoedIDs && id != "" && id != a.callID {
+	if a.isEarlierCall(id) {
+		return errWrongCallID
+	}
+	// The first answer on a connection can only be that of the call, so there a missing id is tolerated.
+	if c.expectEchoedIDs && id != a.callID && (id != "" || a.onReusedConnection()) {
 		return errWrongCallID
 	}
 	return nil
--- a/baobabupstream/clientoptions_test.go
+++ b/baobabupstream/clientoptions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -91,3 +92,57 @@
 		}
 	}
 }
+
+// TestSecondCopyOfAnswer guards against the late second copy of an answer, whole or in part, with or without an id, that is
+// taken for the answer to the next call on its connection. The upstream sends it after it has read the next call.
+func TestSecondCopyOfAnswer(t *testing.T) {
+	tests := []struct {
+		name   string
+		withID bool
+		keep   int // Percent of the copy that is sent.
+		status string
+	}{
+		{"whole", true, 100, "200 OK"},
+		{"whole, without an id", false, 100, "200 OK"},
+		{"half", true, 50, "200 OK"},
+		{"half, without an id", false, 50, "200 OK"},
+		{"refusal, without an id", false, 100, "429 Too Many Requests"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u := startRawUpstream(t, func(u *rawUpstream, n int, conn net.Conn, r *bufio.Reader) {
+				second := ""
+				for {
+					request, ok := u.readRequest(r)
+					if !ok {
+						return
+					}
+					id := request.Header.Get("X-Id")
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+					if n == 0 {
+						_, _ = io.WriteString(conn, second)
+					}
+					_, _ = io.WriteString(conn, answer)
+					second = fmt.Sprintf("HTTP/1.1 %s\r\nX-Not-Run: 1\r\nContent-Length: %d\r\n", tt.status, len(id))
+					if tt.withID {
+						second += "X-Id: " + id + "\r\n"
+					}
+					second += "\r\n" + id
+					second = second[:len(second)*tt.keep/100]
+				}
+			})
+			c := NewClient(u.address, 2, WithHeaderNames(customHeaderNames()), WithEchoedIDs())
+			t.Cleanup(c.Close)
+			for i := range 4 {
+				id := fmt.Sprint("c", i)
+				r := doCall(t, c, newCall(id, "POST", "/"))
+				if _, failed := r.(ConnectionFailed); failed && i == 1 {
+					continue
+				}
+				if got, err := readAnswer(t, r); got != id || err != nil {
+					t.Errorf("call %s got %q, %v", id, got, err)
+				}
+			}
+		})
+	}
+}
--- a/baobabupstream/prober.go
+++ b/baobabupstream/prober.go
@@ -39,11 +39,13 @@
 // NewProber starts a prober that passes each result to observe.
 func NewProber(address string, observe func(ProbeResult), options ...ProberOption) *Prober {
 	p := &Prober{
-		address:   address,
-		interval:  defaultProbeInterval,
-		timeout:   defaultProbeTimeout,
-		observe:   observe,
-		transport: &http.Transport{MaxConnsPerHost: probeConnections, MaxIdleConnsPerHost: probeConnections},
+		address:  address,
+		interval: defaultProbeInterval,
+		timeout:  defaultProbeTimeout,
+		observe:  observe,
+		transport: &http.Transport{
+			MaxConnsPerHost: probeConnections, MaxIdleConnsPerHost: probeConnections, MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		},
 	}
 	for _, o := range options {
 		o(p)
