--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -8,10 +8,10 @@
 
 const (
 	// headWatchers is the number of members per failure domain that watch the head of a Watcher source. Each change
-	// costs the platform one read per watcher: with 24 failure domains, 144 of its 2,000 reads per second. If the head
-	// readers among them, which broadcast new versions, fail unnoticed, the probes of the other watchers spread a
+	// costs the platform one read per watcher: with 24 failure domains, 72 of its 2,000 reads per second. If the head
+	// readers among them, which broadcast new versions, fail unnoticed, the probes of the other watcher spread a
 	// version within 1 to 2 s.
-	headWatchers = 6
+	headWatchers = 3
 	// changeDebounce is the pause after a version came into force before the next change is awaited, so that versions
 	// in quick succession are applied together. A version of 700 routes takes about 10 ms of CPU time, which is 60 ms
 	// on a VM with a share of 0.16 cores; at five versions per second, nodes had no time left for calls.
--- a/baobabnode/seedregistry.go
+++ b/baobabnode/seedregistry.go
@@ -20,13 +20,15 @@
 	// seedRole is the rendezvous-hash key that elects the members that write the seed rows.
 	seedRole = "seed"
 	// seedIntervalMin and seedIntervalMax bound the interval between reads of the seed rows. It starts short, because
-	// nodes that start at once find one another through the rows, and doubles while nothing changes.
+	// nodes that start at once find one another through the rows, and grows while nothing changes.
 	seedIntervalMin = time.Second
 	seedIntervalMax = 30 * time.Second
 	// firstSeedWindow is the time after the bootstrapper's first read of the rows within which an absent row is
 	// written. The nodes of a new mesh find one another through that row at their second read.
 	firstSeedWindow = 100 * time.Millisecond
 	seedTimeout     = 2 * time.Second
+	// seedIntervalGrowth multiplies the interval after each read that finds nothing to change.
+	seedIntervalGrowth = 4
 )
 
 // A seedRegistry stores a few addresses per failure domain in the platform, through which starting nodes and the parts
@@ -59,7 +61,7 @@
 			interval = seedIntervalMin
 			continue
 		}
-		interval = min(2*interval, seedIntervalMax)
+		interval = min(seedIntervalGrowth*interval, seedIntervalMax)
 	}
 }
 
