--- a/baobabcaller/aheadcall.go
+++ b/baobabcaller/aheadcall.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	call    *call.Call
 	cancel  context.CancelFunc
 	memory  *call.BodyMemory
+	onPanic func(value any, stack []byte)
 	done    chan struct{} // Closed when answer and refusal are set.
 
 	mu        sync.Mutex
@@ -62,10 +64,7 @@
 // run serves the call and holds the start of its answer.
 func (a *aheadCall) run(ctx context.Context, s CallServer) {
 	defer close(a.done)
-	answer, refusal := s.Serve(ctx, a.arrived, a.call)
-	if answer != nil && answer.Body() != nil {
-		answer = a.hold(answer)
-	}
+	answer, refusal := a.serve(ctx, s)
 	a.mu.Lock()
 	a.answer, a.refusal, a.finished = answer, refusal, true
 	abandoned := a.abandoned
@@ -75,6 +74,23 @@
 	}
 }
 
+// serve serves the call. A panic ends it as unknown: net/http contains the panics of calls in their turn, but not those
+// of this goroutine.
+func (a *aheadCall) serve(ctx context.Context, s CallServer) (answer *call.Answer, refusal *call.Refusal) {
+	defer func() {
+		if v := recover(); v != nil {
+			a.onPanic(v, debug.Stack())
+			answer = nil
+			refusal = call.NewRefusal(call.ReasonUpstreamFailed, call.OutcomeUnknown, "unexpected error at this node")
+		}
+	}()
+	answer, refusal = s.Serve(ctx, a.arrived, a.call)
+	if answer != nil && answer.Body() != nil {
+		answer = a.hold(answer)
+	}
+	return answer, refusal
+}
+
 // hold reads the start of an answer and returns the answer with it. It closes the body at the end of the answer.
 func (a *aheadCall) hold(answer *call.Answer) *call.Answer {
 	var start bytes.Buffer
--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -41,6 +41,7 @@
 	readAhead         readAheadLimits
 	mayRepeat         func(now time.Time, c *call.Call) bool // Whether a call may run more than once.
 	onAheadCancelled  func(reason string, n int)
+	onPanic           func(value any, stack []byte)
 	spawn             func(func()) bool // Runs a function in a goroutine that the server waits for; false when it stops.
 	inProgress        atomic.Int64
 	draining          atomic.Bool // Each answer asks the caller to close its connection.
@@ -85,6 +86,11 @@
 	return func(h *Handler) { h.onAheadCancelled = f }
 }
 
+// WithPanicHandler sets a function that is called when a call that was handed on before its turn panics.
+func WithPanicHandler(f func(value any, stack []byte)) Option {
+	return func(h *Handler) { h.onPanic = f }
+}
+
 // WithClock replaces time.Now.
 func WithClock(now func() time.Time) Option { return func(h *Handler) { h.clock = now } }
 
@@ -118,6 +124,7 @@
 		formatRetryAfter: retryAfterSeconds,
 		mayRepeat:        func(time.Time, *call.Call) bool { return false },
 		onAheadCancelled: func(string, int) {},
+		onPanic:          func(any, []byte) {},
 		spawn:            func(func()) bool { return false },
 	}
 	for _, o := range options {
@@ -226,7 +233,7 @@
 	if refusal != nil || !h.mayRepeat(now, c) {
 		return nil
 	}
-	return &aheadCall{number: number, request: r, arrived: now, call: c, memory: h.bodyMemory, done: make(chan struct{})}
+	return &aheadCall{number: number, request: r, arrived: now, call: c, memory: h.bodyMemory, onPanic: h.onPanic, done: make(chan struct{})}
 }
 
 // startAhead serves a call before its turn. It returns false when the node serves no further call now.
--- a/baobabcaller/handlermetrics.go
+++ b/baobabcaller/handlermetrics.go
@@ -13,6 +13,12 @@
 // maxRankLabels limits the rank label values of the latency summaries, because callers can send any rank.
 const maxRankLabels = 16
 
+// Reasons for cancelling a call that was handed on before its turn.
+const (
+	cancelledCallerGone       = "caller_gone"
+	cancelledConnectionClosed = "connection_closed"
+)
+
 // handlerMetrics holds the metrics of a Handler and its HTTPServer.
 type handlerMetrics struct {
 	set             *metrics.Set
@@ -45,6 +51,9 @@
 		aheadMismatched:      set.GetOrCreateCounter(`baobab_caller_ahead_mismatched_total`),
 	}
 	m.answerCounter(call.OutcomeRan)
+	for _, reason := range []string{cancelledCallerGone, cancelledConnectionClosed} {
+		m.aheadCancelled(reason)
+	}
 	for _, r := range call.Reasons() {
 		for _, o := range outcomesOf(r) {
 			m.refusalCounter(r, o)
--- a/baobabcaller/pipelinedconn.go
+++ b/baobabcaller/pipelinedconn.go
@@ -125,7 +125,7 @@
 		}
 		if e := net.Error(nil); !errors.As(err, &e) || !e.Timeout() {
 			c.left = err
-			c.closeAhead("caller_gone")
+			c.closeAhead(cancelledCallerGone)
 		}
 		return err
 	}
@@ -287,7 +287,7 @@
 // Close implements net.Conn.
 func (c *pipelinedConn) Close() error {
 	err := c.countingConn.Close()
-	c.closeAhead("connection_closed")
+	c.closeAhead(cancelledConnectionClosed)
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/baobabcaller/pipelinedconn_test.go
+++ b/baobabcaller/pipelinedconn_test.go
@@ -19,7 +19,7 @@
 )
 
 // A pipelineServer is a CallServer whose calls wait until they are released. Targets that start with /once/ may not run
-// again; /refused/ is refused and /cut/ has a truncated answer.
+// again; /refused/ is refused, /cut/ has a truncated answer, and /panic/ panics.
 type pipelineServer struct {
 	mu       sync.Mutex
 	running  []string // Guarded by mu; targets of calls that wait.
@@ -63,6 +63,8 @@
 		return nil, call.NewRefusal(call.ReasonDeadlinePassed, call.OutcomeUnknown, "the caller has left")
 	}
 	switch {
+	case strings.HasPrefix(c.Target(), "/panic/"):
+		panic("unexpected error")
 	case strings.HasPrefix(c.Target(), "/refused/"):
 		return nil, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "refused")
 	case strings.HasPrefix(c.Target(), "/cut/"):
@@ -152,6 +154,8 @@
 			[][]string{{"/a"}, {"/once/p"}, {"/b", "/c"}}, []int{200, 200, 200, 200}},
 		{"a refusal keeps its place", []string{getRequest("/a"), getRequest("/refused/b"), getRequest("/c")}, 8,
 			[][]string{{"/a", "/refused/b", "/c"}}, []int{200, 429, 200}},
+		{"a panic costs one request", []string{getRequest("/a"), getRequest("/panic/b"), getRequest("/c")}, 8,
+			[][]string{{"/a", "/panic/b", "/c"}}, []int{200, 502, 200}},
 		{"a cut answer ends the connection", []string{getRequest("/a"), getRequest("/cut/b"), getRequest("/c")}, 8,
 			[][]string{{"/a", "/cut/b", "/c"}}, []int{200, 0}},
 		{"a malformed request in its turn", []string{getRequest("/a"), "GET /b HTTP/1.1\r\nHost h\r\n\r\n", getRequest("/c")}, 8,
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -154,6 +154,9 @@
 		peer.WithConnectWait(s.Peers().ConnectWait()),
 		peer.WithDial(dialerFrom(s.Listen().Peer())),
 		peer.WithAuthFailureHandler(n.refusalLog.linkRefused),
+		peer.WithPanicHandler(func(address string, value any, stack []byte) {
+			n.logger.Error("message of a peer caused a panic", "peer", address, "value", value, "stack", string(stack))
+		}),
 	)
 	n.ledger = claim.NewLedger(claimStore{store: n.store},
 		claim.WithMaxInFlight(s.Claim().MaxInFlight()),
@@ -229,6 +232,9 @@
 		caller.WithMaxHeaderBytes(int(s.Limits().MaxHeaderSize().Bytes())),
 		caller.WithMaxCalls(s.Limits().MaxCalls()),
 		caller.WithReadAhead(s.Limits().ReadAheadRequests(), int(s.Limits().ReadAheadSize().Bytes()), ingress.MayRepeat),
+		caller.WithPanicHandler(func(value any, stack []byte) {
+			n.logger.Error("call caused a panic", "value", value, "stack", string(stack))
+		}),
 		caller.WithAheadCancelledHandler(func(reason string, count int) {
 			ingress.decisions.write(n.now(), "calls before their turn cancelled", "reason", reason, "calls", count)
 		}),
--- a/baobabpeer/counters.go
+++ b/baobabpeer/counters.go
@@ -13,6 +13,7 @@
 	refusedLinks         = "links"
 	refusedMalformed     = "malformed"
 	refusedOversize      = "oversize"
+	refusedPanic         = "panic"
 	refusedProof         = "proof"
 	refusedSilent        = "silent"
 	refusedStreams       = "streams"
@@ -20,8 +21,8 @@
 
 // refusedReasons lists all refusal reasons, so that each counter is registered from the start.
 var refusedReasons = []string{
-	refusedAcceptedLinks, refusedHandshake, refusedLinks, refusedMalformed, refusedOversize, refusedProof, refusedSilent,
-	refusedStreams,
+	refusedAcceptedLinks, refusedHandshake, refusedLinks, refusedMalformed, refusedOversize, refusedPanic, refusedProof,
+	refusedSilent, refusedStreams,
 }
 
 // counters hold all metrics of a transport.
--- a/baobabpeer/link.go
+++ b/baobabpeer/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,5 +163,18 @@
 	if !s.startReadAhead() {
 		return
 	}
+	l.handle(ctx, h, s)
+}
+
+// handle calls the handler. A panic ends the stream alone: one message that a handler does not expect must not take down
+// the process, which carries the calls of all others.
+func (l *link) handle(ctx context.Context, h Handler, s *Stream) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.transport.counters.countRefused(refusedPanic)
+			l.transport.options.onPanic(l.address, v, debug.Stack())
+			s.Reset()
+		}
+	}()
 	h.ServeStream(ctx, s)
 }
--- a/baobabpeer/linkend_test.go
+++ b/baobabpeer/linkend_test.go
@@ -59,7 +59,7 @@
 		}},
 		{"silence", func(_ *link, dialled, _ *slowConn) error { return dialled.SetReadDeadline(expiredDeadline) }},
 		{"protocol fault", func(_ *link, _, accepted *slowConn) error {
-			_, err := accepted.Conn.Write([]byte("no frame of the protocol"))
+			_, err := accepted.Write([]byte("no frame of the protocol"))
 			return err
 		}},
 		{"closed by this side", func(l *link, _, _ *slowConn) error {
@@ -100,7 +100,9 @@
 				released()
 				_ = client.Close()
 				_ = server.Close()
-				<-served
+				if err := <-served; err != nil {
+					t.Errorf("Serve() = %v after Close, want nil", err)
+				}
 			}()
 			results := make(chan error, 2*streams)
 			for range streams {
@@ -146,7 +148,10 @@
 			released()
 			for range 2 * streams {
 				select {
-				case <-handlers:
+				case err := <-handlers:
+					if err == nil {
+						t.Error("a handler's context has no error")
+					}
 				case <-time.After(20 * time.Second):
 					t.Fatal("a handler still runs after its link has ended")
 				}
--- a/baobabpeer/options.go
+++ b/baobabpeer/options.go
@@ -43,6 +43,7 @@
 	sameDomain       func(address string) bool
 	metricSet        *metrics.Set
 	onAuthFailure    func(address string, err error)
+	onPanic          func(address string, value any, stack []byte)
 }
 
 func newOptions(opts []Option) options {
@@ -64,6 +65,7 @@
 		sameDomain:    func(string) bool { return true },
 		metricSet:     metrics.NewSet(),
 		onAuthFailure: func(string, error) {},
+		onPanic:       func(string, any, []byte) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -71,6 +73,11 @@
 	return o
 }
 
+// WithPanicHandler sets a function that is called when the handler of a stream panics. Only that stream ends.
+func WithPanicHandler(f func(address string, value any, stack []byte)) Option {
+	return func(o *options) { o.onPanic = f }
+}
+
 // WithMaxMessageBytes sets the maximum payload of a message.
 func WithMaxMessageBytes(n int) Option { return func(o *options) { o.maxMessageBytes = n } }
 
