caller: no call for a caller that left before its request was read

Three scale-ins leave one node in a failure domain whose clients are 40% of all; its processor is saturated, so that it reads requests up to five seconds after they were sent. net/http notices the end of a connection only when the goroutine runs that waits for it, and the call is with an upstream by then.

Change: before a call is served, or requests behind it are handed on, the node looks at the socket without reading whether the caller has closed it. When the limit of bytes is reached, reading behind a request waits until its call is known (10 ms at most): the limit could be reached first, and then nothing was handed on.

--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -194,6 +194,10 @@
 		return
 	}
 	defer h.bodyMemory.Release(int64(len(c.Body())))
+	if conn.callerLeft() {
+		h.metrics.callerGone.Inc()
+		panic(http.ErrAbortHandler)
+	}
 	conn.serve(r, c)
 	answer, refusal := h.callServer.Serve(r.Context(), now, c)
 	h.finishCall(w, r, conn, c, now, answer, refusal)
--- a/baobabcaller/pipelinedconn.go
+++ b/baobabcaller/pipelinedconn.go
@@ -6,12 +6,18 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
 
 	call "github.com/baobabdale/baobabdale/baobabcall"
 )
 
-// minReadBytes is the least room for bytes that are read behind the current request.
-const minReadBytes = 512
+const (
+	// minReadBytes is the least room for bytes that are read behind the current request.
+	minReadBytes = 512
+	// maxServingDelay bounds the wait for the call of the current request; one that is refused unread has none.
+	maxServingDelay = 10 * time.Millisecond
+)
 
 // connKey is the context key of a request's pipelinedConn.
 type connKey struct{}
@@ -27,6 +33,8 @@
 	handler *Handler
 	context context.Context // Of all calls of the connection; set before the first Read.
 	cancel  context.CancelFunc
+	raw     syscall.RawConn
+	serving chan struct{}  // Receives when the call of the current request is known.
 	scanner requestScanner // Of the request that is being delivered; used by the reading goroutine.
 	left    error          // Why reading has ended; used by the reading goroutine. Requests read before are dropped.
 
@@ -41,7 +49,28 @@
 }
 
 func newPipelinedConn(c *countingConn, h *Handler) *pipelinedConn {
-	return &pipelinedConn{countingConn: c, handler: h, ahead: newReadAhead(h.readAhead)}
+	p := &pipelinedConn{countingConn: c, handler: h, ahead: newReadAhead(h.readAhead), serving: make(chan struct{}, 1)}
+	p.raw, _ = c.SyscallConn() // Fails only for a closed connection, whose caller has left.
+	return p
+}
+
+// callerLeft reports whether the caller has closed the connection behind what was read. A busy node may read a request
+// long after it was sent. The HTTP server notices that the caller has left only when the goroutine runs that waits for it,
+// and the call would be with an upstream by then.
+func (c *pipelinedConn) callerLeft() bool {
+	if c == nil {
+		return false
+	}
+	left := c.raw == nil
+	if left {
+		return true
+	}
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	})
+	return left || err != nil
 }
 
 // attach returns the context of the connection's requests.
@@ -105,7 +134,9 @@
 // the limit reached it returns nil: the connection is not read any further, so that the caller's window fills.
 func (c *pipelinedConn) readBehind(b []byte) error {
 	for {
-		if c.handOn() {
+		if !c.callerLeft() && c.handOn() {
+			c.awaitServing()
+			c.handOn()
 			return nil
 		}
 		space := b
@@ -131,6 +162,17 @@
 	}
 }
 
+// awaitServing waits until the call of the current request is known, which decides about those behind it. The HTTP server
+// starts to read behind a request just before it serves it.
+func (c *pipelinedConn) awaitServing() {
+	timer := time.NewTimer(maxServingDelay)
+	defer timer.Stop()
+	select {
+	case <-c.serving:
+	case <-timer.C:
+	}
+}
+
 // space returns room for more bytes behind those in the buffer.
 func (c *pipelinedConn) space() []byte {
 	c.mu.Lock()
@@ -151,6 +193,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = nil
+	select {
+	case <-c.serving: // Of an earlier request.
+	default:
+	}
 	item := c.ahead.begin()
 	if item == nil {
 		return nil
@@ -163,6 +209,7 @@
 		c.ahead.close()
 		return nil
 	}
+	c.signalServing()
 	return a
 }
 
@@ -175,11 +222,19 @@
 	c.current = served
 	behind := len(c.buffer) > 0
 	c.mu.Unlock()
+	c.signalServing()
 	if behind {
 		c.handOn()
 	}
 }
 
+func (c *pipelinedConn) signalServing() {
+	select {
+	case c.serving <- struct{}{}:
+	default:
+	}
+}
+
 // handOn hands on the buffered requests that readAhead lets go before their turn. It reports whether the buffer is full.
 func (c *pipelinedConn) handOn() (full bool) {
 	c.mu.Lock()
--- a/baobabcaller/pipelinedconn_test.go
+++ b/baobabcaller/pipelinedconn_test.go
@@ -282,3 +282,51 @@
 	}
 	s.waitRunning(t, "/a", "/a", "/a")
 }
+
+// TestCallerLeavesBeforeItIsRead guards against a call for a caller that had closed or reset its connection before the node
+// came to read the request.
+func TestCallerLeavesBeforeItIsRead(t *testing.T) {
+	for _, linger := range []int{-1, 0} {
+		s := newPipelineServer()
+		httpServer := NewHTTPServer(NewHandler(s, WithReadAhead(8, 16<<10, s.mayRepeat)), WithGracePeriod(0))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		const callers = 20
+		for i := range callers {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			request := getRequest(fmt.Sprintf("/%d", i))
+			if i%2 == 1 {
+				request += getRequest(fmt.Sprintf("/%d/behind", i))
+			}
+			sendAll(t, c, request, false)
+			if err := errors.Join(c.(*net.TCPConn).SetLinger(linger), c.Close()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		httpServer.Start(l)
+		last, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		sendAll(t, last, getRequest("/last"), false)
+		s.waitRunning(t, "/last")
+		close(s.gate("/last"))
+		if status, body, _, err := readPipelined(bufio.NewReader(last)); status != 200 || body != "/last" {
+			t.Errorf("caller that stays: status %d, body %q, %v", status, body, err)
+		}
+		_ = last.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		if err := httpServer.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		if len(s.runs) != 1 {
+			t.Errorf("linger %d: %d calls of callers that had left were served", linger, len(s.runs)-1)
+		}
+	}
+}
