--- a/baobabcall/headernames.go
+++ b/baobabcall/headernames.go
@@ -15,10 +15,12 @@
 	FieldCaller                            // Identity of the caller.
 	FieldCallerService                     // Service of the VM through which the call entered the mesh.
 	FieldIdempotencyKey                    // Key that identifies repetitions of the same request.
+	FieldLeaving                           // Set to 1 by an upstream that is about to leave.
 	FieldNotStarted                        // Set by an upstream that did not start the call.
 	FieldOutcome                           // Whether an upstream ran the call, an Outcome.
 	FieldRank                              // Rank that the caller requests.
 	FieldRefusal                           // Reason for a refusal.
+	FieldRequestLimit                      // Requests per second that an upstream takes from all nodes together.
 	FieldRetried                           // An earlier hop retries the call.
 	FieldTimeout                           // How long the sender waits for the answer, in milliseconds.
 	FieldUpstreamID                        // Id of the only upstream that may run the call.
@@ -54,10 +56,12 @@
 		FieldCallID:         "Baobab-Call-Id",
 		FieldCaller:         "Baobab-Caller",
 		FieldIdempotencyKey: "Idempotency-Key",
+		FieldLeaving:        "Baobab-Leaving",
 		FieldNotStarted:     "Baobab-Not-Started",
 		FieldOutcome:        "Baobab-Outcome",
 		FieldRank:           "Baobab-Rank",
 		FieldRefusal:        "Baobab-Refusal",
+		FieldRequestLimit:   "Baobab-Request-Limit",
 		FieldRetried:        "Baobab-Retried",
 		FieldTimeout:        "Baobab-Timeout-Ms",
 	})
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -62,6 +62,7 @@
 	decisions  *decisionLog
 	shutdownAt atomic.Pointer[time.Time] // When the drain timeout ends; nil unless the node is shutting down.
 
+	notices        noticeLog
 	pendingRecords sync.WaitGroup // Answers that are being recorded.
 }
 
@@ -159,8 +160,12 @@
 	}
 	switch t := u.Client().Do(ctx, a.now(), r.call, r.deadline).(type) {
 	case *upstream.Answered:
+		a.observeNotice(u, t.Notice())
 		return a.handleAnswer(ctx, r, permit, granted, u, t)
 	case upstream.Refused:
+		if n, ok := t.Notice(); ok {
+			a.observeNotice(u, n)
+		}
 		permit.Release(a.now(), admission.OutcomeShed)
 		a.releaseClaim(granted)
 		return nil, call.NewRefusal(call.ReasonUpstreamShed, call.OutcomeNotRun, "the upstream shed the call").WithRetryAfter(t.RetryAfter())
@@ -185,6 +190,15 @@
 	}
 }
 
+// observeNotice logs what an upstream says about itself in an answer if it has changed.
+func (a *Admitter) observeNotice(u *blackboard.Upstream, n upstream.Notice) {
+	if a.notices.replace(u.ID(), n) {
+		limit, limited := n.RequestLimit()
+		a.logger.Info("upstream gave notice", "upstream", u.ID(), "limited", limited, "request_limit", limit,
+			"leaving", n.Leaving())
+	}
+}
+
 // handleAnswer returns the answer with a body that releases the permit and records the answer once it has been read to
 // its end. If ctx is done first, the call is cancelled at the upstream and the permit is released, even if nobody reads
 // the body any more.
--- a/baobabupstream/client.go
+++ b/baobabupstream/client.go
@@ -192,19 +192,27 @@
 		_, _ = io.CopyN(io.Discard, body, maxRefusalBodyBytes)
 		timer.Stop()
 		_ = body.Close()
-		return Refused{retryAfter: retryAfter(response.Header)}
+		return Refused{
+			retryAfter: retryAfter(response.Header), misdirected: c.misdirected(response),
+			notice: ParseNotice(c.headerNames, response.Header),
+		}
+	}
+	return &Answered{
+		answer: call.NewAnswer(response.StatusCode, response.Header, body), body: body,
+		notice: ParseNotice(c.headerNames, response.Header),
 	}
-	return &Answered{answer: call.NewAnswer(response.StatusCode, response.Header, body), body: body}
 }
 
 // notStarted reports whether the upstream states that it did not start the call, or that it is not the process that the
 // call is meant for.
 func (c *Client) notStarted(response *http.Response) bool {
-	if c.upstreamID != "" && c.headerNames.Name(call.FieldUpstreamID) != "" &&
-		response.StatusCode == http.StatusMisdirectedRequest {
-		return true
-	}
-	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(c.headerNames.Name(call.FieldNotStarted)) == "1"
+	return c.misdirected(response) || response.StatusCode >= http.StatusBadRequest && response.Header.Get(c.headerNames.Name(call.FieldNotStarted)) == "1"
+}
+
+// misdirected reports whether the process that responded is not the upstream that the call is meant for.
+func (c *Client) misdirected(response *http.Response) bool {
+	return c.upstreamID != "" && c.headerNames.Name(call.FieldUpstreamID) != "" &&
+		response.StatusCode == http.StatusMisdirectedRequest
 }
 
 // checkResponse returns an error if the response cannot be the answer to the call.
--- a/baobabupstream/result.go
+++ b/baobabupstream/result.go
@@ -14,21 +14,32 @@
 type Answered struct {
 	answer *call.Answer
 	body   *answerBody
+	notice Notice
 }
 
 // Answer returns the answer.
 func (a *Answered) Answer() *call.Answer { return a.answer }
 
+// Notice returns what the upstream says about itself.
+func (a *Answered) Notice() Notice { return a.notice }
+
 // Failure returns why the body was truncated, or nil. It distinguishes a possible crash of the upstream from the
 // caller's cancellation (context.Canceled) and the deadline (context.DeadlineExceeded).
 func (a *Answered) Failure() error { return a.body.failure() }
 
 // Refused means that the upstream refused the call without starting it.
-type Refused struct{ retryAfter time.Duration }
+type Refused struct {
+	retryAfter  time.Duration
+	misdirected bool // Another process than the meant upstream refused the call.
+	notice      Notice
+}
 
 // RetryAfter returns how long the upstream asked to wait before a retry, or zero.
 func (r Refused) RetryAfter() time.Duration { return r.retryAfter }
 
+// Notice returns what the upstream says about itself; false if another process refused the call.
+func (r Refused) Notice() (Notice, bool) { return r.notice, !r.misdirected }
+
 // NotSent means that no byte of the call was written to a connection, so the upstream certainly did not start it.
 type NotSent struct{ err error }
 
