admission, node: an upstream gets no more requests than it states that it takes

Callers and upstreams saw: an upstream that states a request limit went on to get as many calls as it has slots for, two to three times its limit, from all entries together. Cause: the gate beside the upstream knew slots as the only bound of an upstream. A bound that the upstream states while it runs had no place in it, so the field was read by nobody. Ruled out: pacing at each entry (an entry knows nothing of the others' rates; all calls pass one gate); a concurrency limit derived from the rate (calls that end sooner than expected exceed it). Waiting estimates, refusals, offers of a free slot and the load that entries compare follow the rate, so that what cannot be served is refused at once and goes elsewhere. A timer continues the queue. The limit ends with an answer that does not state it, or with the process. The emulator's upstreams state a limit on demand. Conclusion: fixed for a gate that has read an answer; what a restarted node knows is open.

--- a/baobabadmission/counters.go
+++ b/baobabadmission/counters.go
@@ -10,6 +10,7 @@
 type counters struct {
 	granted map[string]uint64
 	refused map[string]map[call.Reason]uint64
+	pauses  uint64 // Times that waiting requests had a slot and waited for the pacer.
 }
 
 func newCounters() *counters {
--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -11,12 +11,14 @@
 
 // A Gate grants permits for calls to one upstream. It is safe for concurrent use.
 //
-// While requests wait, at least one permit is held, so every release makes progress and no timer is needed. The only
-// exception is the limit, which rises with time while the upstream warms up; it takes effect at the next event.
+// While requests wait, at least one permit is held, so every release makes progress, or the pacer has no permit and a
+// timer runs. The limit, which rises with time while the upstream warms up, takes effect at the next event.
 type Gate struct {
 	mu             sync.Mutex
 	queue          *Queue
 	limiter        *Limiter
+	pacer          pacer
+	timerRunning   bool // A timer calls dispatch when the pacer has a permit.
 	counters       *counters
 	waitMeter      waitMeter
 	inFlight       int
@@ -91,11 +93,12 @@
 	if ctx.Err() != nil {
 		return nil, g.countRefusal(r, contextRefusal(ctx))
 	}
-	if r.freeSlotOnly && !g.queue.FreeSlot(now, r.rank, NewSlotUsage(g.limiter.Limit(now), g.inFlightByRank)) {
+	pause := g.pacer.wait(now)
+	if r.freeSlotOnly && (pause > 0 || !g.queue.FreeSlot(now, r.rank, NewSlotUsage(g.limiter.Limit(now), g.inFlightByRank))) {
 		return nil, g.countRefusal(r, call.NewRefusal(call.ReasonNoFreeSlot, call.OutcomeNotRun, "no slot is free"))
 	}
 	s := NewUpstreamStats(g.limiter.Limit(now), g.inFlight, g.limiter.MeanLatency(), g.limiter.MinServiceTime(r.kind)).
-		WithExpectedLatency(g.limiter.ExpectedLatency(r.kind))
+		WithExpectedLatency(g.limiter.ExpectedLatency(r.kind)).WithRequestLimit(g.pacer.perSecond, pause)
 	e, drops, refusal := g.queue.Offer(now, r, s)
 	if refusal != nil {
 		return nil, g.countRefusal(r, refusal)
@@ -115,14 +118,19 @@
 	}
 }
 
-// dispatch grants permits to waiting requests up to the limit.
+// dispatch grants permits to waiting requests up to the limit and as fast as the pacer allows.
 func (g *Gate) dispatch(now time.Time) {
-	for limit := g.limiter.Limit(now); g.inFlight < limit; {
+	for limit := g.limiter.Limit(now); g.inFlight < limit && g.queue.Len() > 0; {
+		if pause := g.pacer.wait(now); pause > 0 {
+			g.dispatchAfter(now, pause)
+			return
+		}
 		e, drops := g.queue.NextReserving(now, NewSlotUsage(limit, g.inFlightByRank))
 		g.refuseDrops(drops)
 		if e == nil {
 			return
 		}
+		g.pacer.take(now)
 		g.inFlight++
 		g.inFlightByRank[g.rankName(e.request)]++
 		wait := max(0, now.Sub(e.enqueuedAt))
@@ -132,6 +140,22 @@
 	}
 }
 
+// dispatchAfter calls dispatch after a pause, unless a timer that does so is running.
+func (g *Gate) dispatchAfter(now time.Time, pause time.Duration) {
+	if g.timerRunning {
+		return
+	}
+	g.timerRunning = true
+	g.counters.pauses++
+	start := time.Now()
+	time.AfterFunc(pause, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.timerRunning = false
+		g.dispatch(now.Add(time.Since(start)))
+	})
+}
+
 func (g *Gate) refuseDrops(drops []Drop) {
 	for _, d := range drops {
 		d.entry.waiter.refuse(g.countRefusal(d.entry.request, d.refusal))
@@ -185,6 +209,21 @@
 	g.dispatch(now)
 }
 
+// SetRequestLimit sets the requests per second that the upstream states it takes.
+func (g *Gate) SetRequestLimit(now time.Time, perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pacer.setLimit(now, perSecond)
+}
+
+// ClearRequestLimit removes the limit on requests per second.
+func (g *Gate) ClearRequestLimit(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pacer.clearLimit()
+	g.dispatch(now)
+}
+
 // Configure replaces the policy. Waiting requests stay queued under the new one.
 func (g *Gate) Configure(p Policy) {
 	g.mu.Lock()
@@ -218,13 +257,30 @@
 	defer g.mu.Unlock()
 	return Load{
 		inFlight: g.inFlight,
-		limit:    g.limiter.Limit(now),
+		limit:    g.concurrency(now),
 		queued:   g.queue.Len(),
 		wait:     g.waitMeter.decayedMean(now),
 		draining: g.draining,
 	}
 }
 
+// concurrency returns how many calls run at the same time at most, by the limiter or, by Little's law, at the rate of the
+// pacer. Nodes that choose between upstreams compare calls with it.
+func (g *Gate) concurrency(now time.Time) int {
+	limit := g.limiter.Limit(now)
+	if latency := g.limiter.MeanLatency(); g.pacer.limited() && latency > 0 {
+		limit = min(limit, max(1, int(g.pacer.perSecond*latency.Seconds())))
+	}
+	return limit
+}
+
+// Pauses returns how often waiting requests had a slot and waited for the stated request limit.
+func (g *Gate) Pauses() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.counters.pauses
+}
+
 // Refusals returns the number of refusals by rank and reason, sorted.
 func (g *Gate) Refusals() []RefusalCount {
 	g.mu.Lock()
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -94,10 +94,10 @@
 }
 
 // deadlineRefusal returns a refusal when the estimated wait plus the least service time exceeds the deadline, and nil
-// otherwise. With nothing in flight the request is always accepted, because an outdated high estimate would otherwise
-// never be replaced by a new measurement.
+// otherwise. With nothing in flight and a permit available the request is always accepted, because an outdated high
+// estimate would otherwise never be replaced by a new measurement.
 func deadlineRefusal(now time.Time, r Request, s UpstreamStats, wait time.Duration) *call.Refusal {
-	if r.deadline.IsZero() || s.inFlight == 0 {
+	if r.deadline.IsZero() || s.inFlight == 0 && s.pause == 0 {
 		return nil
 	}
 	if now.Add(wait + s.minService).Before(r.deadline) {
@@ -136,15 +136,17 @@
 // workAhead returns how long all slots are held by a new call of the rank and caller and by the calls that are served
 // before it.
 func (q *Queue) workAhead(rank int, caller string, s UpstreamStats) time.Duration {
-	work := time.Duration(q.ranks[rank].entriesAhead(caller)+1) * s.expectedLatency
+	calls := q.ranks[rank].entriesAhead(caller) + 1
+	work := time.Duration(calls) * s.expectedLatency
 	for i := range rank {
+		calls += q.ranks[i].length
 		work += time.Duration(q.ranks[i].length) * q.ranks[i].expectedLatency
 	}
-	return work / time.Duration(s.limit)
+	return s.timeOf(calls, work)
 }
 
 // EstimateWait estimates how long the request would wait for a grant, from the service rate, the work that is served
-// before it, and the error of recent estimates. It is zero when a permit is free or no latency is known.
+// before it, and the error of recent estimates. It is zero when a permit is free or neither latency nor rate is known.
 func (q *Queue) EstimateWait(now time.Time, r Request, s UpstreamStats) time.Duration {
 	return q.correctWait(q.policy.rankIndex(r.rank), q.uncorrectedWait(now, r, s))
 }
@@ -157,9 +159,12 @@
 // uncorrectedWait estimates the wait of the request without a correction.
 func (q *Queue) uncorrectedWait(now time.Time, r Request, s UpstreamStats) time.Duration {
 	rate := s.rate()
-	if rate == 0 || (q.length == 0 && s.inFlight < s.limit) {
+	if rate == 0 {
 		return 0
 	}
+	if q.length == 0 && s.inFlight < s.limit {
+		return s.pause
+	}
 	rank := q.policy.rankIndex(r.rank)
 	var urgentWaiting int
 	var urgentRate float64
@@ -180,7 +185,7 @@
 	if floor > 0 {
 		seconds = min(seconds, ahead/floor)
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return max(s.pause, time.Duration(seconds*float64(time.Second)))
 }
 
 // selectVictim returns the entry that a new entry of the rank and caller displaces from a full queue, or nil when the
--- a/baobabadmission/upstreamstats.go
+++ b/baobabadmission/upstreamstats.go
@@ -9,6 +9,8 @@
 	meanLatency     time.Duration // Recent mean of all calls; zero when not measured yet.
 	expectedLatency time.Duration // Recent mean of calls of the request's kind; zero when not measured yet.
 	minService      time.Duration // Least service time of the request; zero when unknown.
+	maxRate         float64       // Requests per second that the upstream takes; zero without a limit.
+	pause           time.Duration // Time until the next permit under maxRate.
 }
 
 // NewUpstreamStats returns statistics in which the mean latency is also the expected latency of the request.
@@ -26,10 +28,31 @@
 	return s
 }
 
-// rate returns the service rate in calls per second by Little's law, or zero when the latency is unknown.
+// WithRequestLimit returns a copy with the requests per second that the upstream takes, or zero without a limit, and the
+// time until it takes the next one.
+func (s UpstreamStats) WithRequestLimit(perSecond float64, pause time.Duration) UpstreamStats {
+	s.maxRate, s.pause = perSecond, pause
+	return s
+}
+
+// rate returns the service rate in calls per second by Little's law, at most maxRate, or zero when neither the latency
+// nor a limit is known.
 func (s UpstreamStats) rate() float64 {
 	if s.meanLatency <= 0 {
-		return 0
+		return s.maxRate
+	}
+	rate := float64(s.limit) / s.meanLatency.Seconds()
+	if s.maxRate > 0 {
+		rate = min(rate, s.maxRate)
+	}
+	return rate
+}
+
+// timeOf returns how long the upstream needs for a number of calls that hold its slots for the given time in all.
+func (s UpstreamStats) timeOf(calls int, held time.Duration) time.Duration {
+	d := held / time.Duration(s.limit)
+	if s.maxRate > 0 {
+		d = max(d, time.Duration(float64(calls)/s.maxRate*float64(time.Second)))
 	}
-	return float64(s.limit) / s.meanLatency.Seconds()
+	return d
 }
--- a/baobabemulator/upstreambehaviour.go
+++ b/baobabemulator/upstreambehaviour.go
@@ -39,6 +39,7 @@
 	AnnouncedSlots int                  `json:"announce_slots"`  // Not zero: announced instead of Slots.
 	IgnoreCancel   bool                 `json:"ignore_cancel"`   // Finish the call even if the client has gone.
 	IgnoreTimeout  bool                 `json:"ignore_deadline"` // Finish the call even if Baobab-Timeout-Ms has expired.
+	RequestLimit   float64              `json:"request_limit"`   // Not zero: stated in answers, in requests per second.
 }
 
 // DefaultUpstreamBehaviour returns a healthy upstream with 6 slots, a mean service time of 5 ms and probes of 6 ms.
@@ -66,8 +67,8 @@
 	if err := d.Decode(&b); err != nil {
 		return b, fmt.Errorf("read behaviour: %w", err)
 	}
-	if b.Slots < 1 || b.QueueLimit < 0 || b.ServiceMs < 0 || b.ColdFactor < 1 {
-		return b, fmt.Errorf("behaviour: slots, queue_limit, service_ms or cold_factor is out of range")
+	if b.Slots < 1 || b.QueueLimit < 0 || b.ServiceMs < 0 || b.ColdFactor < 1 || b.RequestLimit < 0 {
+		return b, fmt.Errorf("behaviour: slots, queue_limit, service_ms, cold_factor or request_limit is out of range")
 	}
 	return b, nil
 }
--- a/baobabemulator/upstreamhandler.go
+++ b/baobabemulator/upstreamhandler.go
@@ -93,6 +93,9 @@
 		return
 	}
 	b := u.Behaviour()
+	if b.RequestLimit > 0 {
+		w.Header().Set("Baobab-Request-Limit", strconv.FormatFloat(b.RequestLimit, 'f', -1, 64))
+	}
 	ctx, cancel := newRunContext(r, b)
 	defer cancel()
 	if b.Shed || ctx.Err() != nil || !u.slots.acquire(ctx) {
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -190,12 +190,18 @@
 	}
 }
 
-// observeNotice logs what an upstream says about itself in an answer if it has changed.
+// observeNotice applies what an upstream says about itself in an answer, if it has changed.
 func (a *Admitter) observeNotice(u *blackboard.Upstream, n upstream.Notice) {
-	if a.notices.replace(u.ID(), n) {
-		limit, limited := n.RequestLimit()
-		a.logger.Info("upstream gave notice", "upstream", u.ID(), "limited", limited, "request_limit", limit,
-			"leaving", n.Leaving())
+	if !a.notices.replace(u.Client(), n) {
+		return
+	}
+	limit, limited := n.RequestLimit()
+	a.logger.Info("upstream gave notice", "upstream", u.ID(), "limited", limited, "request_limit", limit,
+		"leaving", n.Leaving())
+	if limited {
+		a.gate.SetRequestLimit(a.now(), limit)
+	} else {
+		a.gate.ClearRequestLimit(a.now())
 	}
 }
 
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -59,6 +59,7 @@
 	for _, r := range n.gate.Refusals() {
 		_, _ = fmt.Fprintf(w, "baobab_admission_refusals_total{rank=%q,reason=%q} %d\n", r.Rank(), r.Reason(), r.Count())
 	}
+	_, _ = fmt.Fprintf(w, "baobab_admission_pauses_total %d\n", n.gate.Pauses())
 	p, ok := localPolicy(n.board)
 	if !ok {
 		return
--- a/baobabnode/noticelog.go
+++ b/baobabnode/noticelog.go
@@ -8,20 +8,20 @@
 
 // A noticeLog holds the last notice of the local upstream. It is safe for concurrent use.
 type noticeLog struct {
-	mu         sync.Mutex
-	upstreamID string
-	notice     upstream.Notice // Of the upstream with upstreamID.
+	mu     sync.Mutex
+	client *upstream.Client // Of the process that gave the notice; nil before the first one.
+	notice upstream.Notice
 }
 
-// replace replaces the notice and reports whether it differs from the last one of the upstream.
-func (l *noticeLog) replace(upstreamID string, n upstream.Notice) bool {
+// replace replaces the notice and reports whether it differs from the last one of the process with the client.
+func (l *noticeLog) replace(client *upstream.Client, n upstream.Notice) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var last upstream.Notice
-	if l.upstreamID == upstreamID {
+	if l.client == client {
 		last = l.notice
 	}
-	l.upstreamID, l.notice = upstreamID, n
+	l.client, l.notice = client, n
 	return n != last
 }
 
--- a/baobabnode/upstreamcontroller.go
+++ b/baobabnode/upstreamcontroller.go
@@ -113,6 +113,7 @@
 	if old != nil {
 		old.Client().Close()
 	}
+	c.gate.ClearRequestLimit(c.now())
 	healthTracker := upstream.NewHealthTracker()
 	if c.probes {
 		c.prober = upstream.NewProber(a.Address(), func(r upstream.ProbeResult) { healthTracker.RecordProbe(r.Healthy()) })
--- /dev/null
+++ b/baobabproof/requestlimit_test.go
@@ -0,0 +1,74 @@
+package baobabproof
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/baobabdale/baobabdale/baobabemulator"
+)
+
+const (
+	// limitWindow is the time over which the requests at an upstream are counted.
+	limitWindow = 4 * time.Second
+	// limitFactor and limitSlack bound the requests in a window, relative to what the stated limit allows.
+	limitFactor, limitSlack = 1.5, 5
+)
+
+// mostRequests returns the highest number of runs that started within limitWindow, of those that started after a time.
+func mostRequests(t *testing.T, n *baobabemulator.MeshNode, after time.Time) int {
+	t.Helper()
+	runs, err := n.Runs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	most, first := 0, 0
+	for i, r := range runs {
+		for r.StartNs-runs[first].StartNs > limitWindow.Nanoseconds() || runs[first].StartNs < after.UnixNano() && first < i {
+			first++
+		}
+		if r.StartNs >= after.UnixNano() {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// TestRequestLimitExceeded guards against an upstream that gets more requests, summed over all entries, than it states
+// that it takes.
+func TestRequestLimitExceeded(t *testing.T) {
+	t.Parallel()
+	const perSecond, applied = 20.0, 500 * time.Millisecond
+	m := startMesh(t, "booking")
+	ctx := testContext(t)
+	f := newFaultInjector(t, m)
+	limited, entries := m.NodesOfService("availability"), m.Nodes()
+	caller := baobabemulator.NewCaller("limit")
+	defer caller.Close()
+	load := baobabemulator.StartLoad(ctx, 8, 2*time.Millisecond, func(ctx context.Context, serial int64) {
+		caller.Do(ctx, entries[serial%int64(len(entries))].EntryURL(),
+			baobabemulator.CallerRequest{Method: http.MethodGet, Path: "/availability", Timeout: time.Second})
+	})
+	defer load.Stop()
+	f.waitNextCall(ctx, limited[0])
+	f.setBehaviour(`{"request_limit": 20}`, `{"request_limit": 0}`, limited...)
+	stated := time.Now()
+	f.waitUntil(ctx, "two windows to pass", func() bool { return time.Since(stated) > 2*limitWindow })
+	for _, n := range limited {
+		most := mostRequests(t, n, stated.Add(applied))
+		if allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
+			t.Errorf("%s got %d requests in %v, at most %.0f are allowed", n.ID(), most, limitWindow, allowed)
+		}
+		if least := perSecond * limitWindow.Seconds() / 2; float64(most) < least {
+			t.Errorf("%s got %d requests in %v, it takes %.0f", n.ID(), most, limitWindow, 2*least)
+		}
+	}
+	f.heal(ctx)
+	lifted := time.Now()
+	f.waitUntil(ctx, "more requests than the limit allowed", func() bool {
+		return time.Since(lifted) > time.Second && mostRequests(t, limited[0], lifted) > 4*perSecond
+	})
+	load.Stop()
+	checkHistories(t, m, caller.Records())
+}
