membership, upstream: a restarted node knows the request limit of its upstream

Callers and upstreams saw: a node that is restarted beside an upstream with a stated limit fills all its slots at once, before the first answer states the limit again. Cause: the limit was kept by the process alone; the record that other nodes hold of the endpoint did not have it. Class: what an upstream has said about itself is forgotten by a restart of the process beside it. Ruled out: a health check before the first call (takes a slot, and a heartbeat may register the upstream first); one call at a time until the first answer (an answer may take seconds). Change: the registry owns the notice of the current process; the endpoint in the member record carries the limit and whether the upstream leaves; an answering node sends a joining one the record of its earlier process, and the restarted node takes the notice over for the same process of the upstream. Changes of a limit by less than a tenth are not broadcast. Conclusion: fixed where another node remembers; if all are restarted, the first answer teaches the limit.

--- a/baobabmembership/endpoint.go
+++ b/baobabmembership/endpoint.go
@@ -25,12 +25,16 @@
 	connections uint32
 	state       EndpointState
 	startTime   time.Time // On the local clock; it differs between nodes by the message delay.
+	// requestLimit is the number of requests per second that the upstream states it takes; negative without a limit.
+	requestLimit float64
+	leaving      bool // The upstream has said that it leaves.
 }
 
 // NewEndpoint returns an endpoint. The start time of the upstream is on the local clock.
 func NewEndpoint(service, upstreamID string, slots, connections uint32, s EndpointState, start time.Time) Endpoint {
 	return Endpoint{
 		service: service, upstreamID: upstreamID, slots: slots, connections: connections, state: s, startTime: start,
+		requestLimit: -1,
 	}
 }
 
@@ -52,6 +56,18 @@
 // StartTime returns when the upstream started, on the local clock.
 func (e Endpoint) StartTime() time.Time { return e.startTime }
 
+// RequestLimit returns the requests per second that the upstream states it takes, or a negative number without a limit.
+func (e Endpoint) RequestLimit() float64 { return e.requestLimit }
+
+// Leaving reports whether the upstream has said that it leaves.
+func (e Endpoint) Leaving() bool { return e.leaving }
+
+// WithNotice returns a copy with what the upstream says about itself. A negative limit means none.
+func (e Endpoint) WithNotice(requestLimit float64, leaving bool) Endpoint {
+	e.requestLimit, e.leaving = requestLimit, leaving
+	return e
+}
+
 // WithState returns a copy in another state.
 func (e Endpoint) WithState(s EndpointState) Endpoint {
 	e.state = s
--- a/baobabmembership/member.go
+++ b/baobabmembership/member.go
@@ -4,7 +4,9 @@
 	"encoding/binary"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"time"
 	"unique"
 
@@ -66,6 +68,10 @@
 		age := min(max(e.GetWarmForMs(), 0), maxUpstreamAgeMilliseconds)
 		start := now.Add(-time.Duration(age) * time.Millisecond)
 		endpoint := NewEndpoint(intern(e.GetService()), e.GetUpstreamId(), e.GetSlots(), e.GetConnections(), state, start)
+		if e.RequestLimit != nil {
+			endpoint.requestLimit = max(e.GetRequestLimit(), 0)
+		}
+		endpoint.leaving = e.GetLeaving()
 		m.endpoint = &endpoint
 	}
 	if len(w.GetLabels()) > 0 {
@@ -112,7 +118,10 @@
 	if e := m.endpoint; e != nil {
 		w.Endpoint = &wire.Endpoint{
 			Service: e.service, Slots: e.slots, Connections: e.connections, State: string(e.state),
-			WarmForMs: now.Sub(e.startTime).Milliseconds(), UpstreamId: e.upstreamID,
+			WarmForMs: now.Sub(e.startTime).Milliseconds(), UpstreamId: e.upstreamID, Leaving: e.leaving,
+		}
+		if e.requestLimit >= 0 {
+			w.Endpoint.RequestLimit = &e.requestLimit
 		}
 	}
 	return w
@@ -175,6 +184,8 @@
 		b = appendString(b, string(e.state))
 		b = binary.AppendUvarint(b, uint64(e.slots))
 		b = binary.AppendUvarint(b, uint64(e.connections))
+		b = binary.AppendUvarint(b, math.Float64bits(e.requestLimit))
+		b = strconv.AppendBool(b, e.leaving)
 	}
 	if len(m.labels) > 0 {
 		for _, k := range slices.Sorted(maps.Keys(m.labels)) {
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -55,6 +55,7 @@
 type Admitter struct {
 	board      *blackboard.Board
 	gate       *admission.Gate
+	registry   *upstream.Registry
 	ledger     *claim.Ledger
 	quarantine *quarantineController
 	now        func() time.Time
@@ -62,7 +63,6 @@
 	decisions  *decisionLog
 	shutdownAt atomic.Pointer[time.Time] // When the drain timeout ends; nil unless the node is shutting down.
 
-	notices        noticeLog
 	pendingRecords sync.WaitGroup // Answers that are being recorded.
 }
 
@@ -190,19 +190,21 @@
 	}
 }
 
-// observeNotice applies what an upstream says about itself in an answer, if it has changed.
+// observeNotice records what an upstream says about itself in an answer.
 func (a *Admitter) observeNotice(u *blackboard.Upstream, n upstream.Notice) {
-	if !a.notices.replace(u.Client(), n) {
-		return
+	if a.registry.ObserveNotice(u.ID(), n) {
+		limit, limited := n.RequestLimit()
+		a.logger.Info("upstream gave notice", "upstream", u.ID(), "limited", limited, "request_limit", limit,
+			"leaving", n.Leaving())
 	}
-	limit, limited := n.RequestLimit()
-	a.logger.Info("upstream gave notice", "upstream", u.ID(), "limited", limited, "request_limit", limit,
-		"leaving", n.Leaving())
-	if limited {
-		a.gate.SetRequestLimit(a.now(), limit)
-	} else {
-		a.gate.ClearRequestLimit(a.now())
+}
+
+// leavingUpstream returns the id of the upstream on this VM if it has said that it leaves, or an empty string.
+func (a *Admitter) leavingUpstream() string {
+	if u := a.board.Upstream(); u != nil && a.registry.Notice().Leaving() {
+		return u.ID()
 	}
+	return ""
 }
 
 // handleAnswer returns the answer with a body that releases the permit and records the answer once it has been read to
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -31,6 +31,7 @@
 	budgets        *blackboard.ShardedMap[budgetKey, *route.Budget]
 	admitter       *Admitter
 	peerClient     *peerClient
+	members        *memberTable
 	self           string
 	ready          readiness
 	retryCounters  *retryCounters
@@ -222,11 +223,14 @@
 	if candidate.ID() == g.self {
 		result = g.attemptLocal(ctx, r)
 	} else {
-		result = g.peerClient.attempt(ctx, r.request, candidate, number, func(l route.Load, draining bool) {
-			g.endpointStats.RecordLoad(g.now(), candidate.ID(), l)
-			if draining {
+		result = g.peerClient.attempt(ctx, r.request, candidate, number, func(r loadReport) {
+			g.endpointStats.RecordLoad(g.now(), candidate.ID(), r.load)
+			if r.draining {
 				g.endpointStats.RecordDraining(g.now(), candidate.ID())
 			}
+			if r.leavingUpstream != "" {
+				g.members.recordLeaving(candidate.ID(), r.leavingUpstream)
+			}
 		})
 	}
 	if result.answer == nil {
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -15,6 +15,7 @@
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	upstream "github.com/baobabdale/baobabdale/baobabupstream"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
@@ -49,6 +50,8 @@
 	configuration    *configurationController
 	transport        *peer.Transport
 	seeds            *seedRegistry
+	registry         *upstream.Registry
+	firstIncarnation uint64 // Of this process; records of this node with a lower one are from an earlier process.
 	now              func() time.Time
 	logger           *log.Logger
 	probeInterval    time.Duration
@@ -97,12 +100,28 @@
 	if invalid > 0 {
 		c.logger.Warn("invalid member records ignored", "count", invalid)
 	}
+	c.inheritNotice(list)
 	c.handleChanges(c.members.withTable(func(t *membership.Table) []membership.Change { return t.Merge(now, list) }), false)
 	if len(list) > 0 && c.peerFound != nil {
 		c.peerFoundOnce.Do(func() { close(c.peerFound) })
 	}
 }
 
+// inheritNotice takes over what an earlier process of this node knew of the upstream on this VM: its request limit and
+// whether it leaves. The clock may have been set back between the two processes, so a record that is newer than that of
+// this process is from an earlier one, too.
+func (c *membershipController) inheritNotice(records []membership.Member) {
+	for _, m := range records {
+		e, ok := m.Endpoint()
+		if m.ID() != c.members.self || !ok || e.RequestLimit() < 0 && !e.Leaving() {
+			continue
+		}
+		if m.Incarnation() < c.firstIncarnation || m.Incarnation() > c.members.selfRecord().Incarnation() {
+			c.registry.InheritNotice(e.UpstreamID(), e.StartTime(), upstream.NewNotice(e.RequestLimit(), e.Leaving()))
+		}
+	}
+}
+
 // handleChanges broadcasts changes of the table: those that this node has detected itself, and its own record if it
 // refutes another node's suspicion.
 func (c *membershipController) handleChanges(changes []membership.Change, detected bool) {
@@ -408,11 +427,12 @@
 	return reply.GetJoinReply(), nil
 }
 
-// answerJoin merges the record of a starting node and returns all members. The starting node broadcasts its record
-// itself.
+// answerJoin merges the record of a starting node and returns all members, with the record of the node's earlier process
+// if there is one. The starting node broadcasts its record itself.
 func (c *membershipController) answerJoin(m *wire.Join) (*wire.JoinReply, error) {
+	records := c.members.records(nil)
 	c.merge([]*wire.Member{m.GetSelf()})
-	data, err := proto.Marshal(&wire.MemberUpdate{Records: membership.MembersToWire(c.now(), c.members.records(nil))})
+	data, err := proto.Marshal(&wire.MemberUpdate{Records: membership.MembersToWire(c.now(), records)})
 	if err != nil {
 		return nil, errors.Wrap(err, "answer join")
 	}
--- a/baobabnode/membertable.go
+++ b/baobabnode/membertable.go
@@ -20,10 +20,45 @@
 	mu          sync.Mutex
 	table       *membership.Table     // Guarded by mu.
 	domainsByIP map[netip.Addr]string // Guarded by mu; failure domains by the IP address of the peer address.
+	leaving     map[string]time.Time  // Guarded by mu; start times of upstreams that said here that they leave, by id.
+}
+
+const (
+	// maxLeavingUpstreams is the number of upstreams that are remembered as leaving. Beyond it, the members that announce
+	// them are relied upon.
+	maxLeavingUpstreams = 1024
+	// leavingTolerance is how much the start times of one process may differ between two records.
+	leavingTolerance = 500 * time.Millisecond
+)
+
+// recordLeaving excludes the upstream of a member from new calls of this node, also when the member forgets with a restart
+// that the upstream leaves.
+func (m *memberTable) recordLeaving(memberID, upstreamID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.table.Member(memberID)
+	if !ok {
+		return
+	}
+	e, ok := v.Endpoint()
+	if !ok || e.UpstreamID() != upstreamID || m.isLeaving(e) {
+		return
+	}
+	if len(m.leaving) >= maxLeavingUpstreams {
+		clear(m.leaving)
+	}
+	m.leaving[upstreamID] = e.StartTime()
+	m.rebuildIndex()
+}
+
+// isLeaving reports whether the upstream of an endpoint said to this node that it leaves. It requires mu.
+func (m *memberTable) isLeaving(e membership.Endpoint) bool {
+	startTime, ok := m.leaving[e.UpstreamID()]
+	return ok && e.StartTime().Sub(startTime) <= leavingTolerance
 }
 
 func newMemberTable(board *blackboard.Board, table *membership.Table) *memberTable {
-	return &memberTable{board: board, self: table.Self().ID(), table: table}
+	return &memberTable{board: board, self: table.Self().ID(), table: table, leaving: map[string]time.Time{}}
 }
 
 // withTable runs f with the table locked and returns the changes that f made.
@@ -55,7 +90,7 @@
 			m.domainsByIP[a.Addr()] = v.FailureDomain()
 		}
 		e, ok := v.Endpoint()
-		if !ok || !acceptsCalls(e.State()) {
+		if !ok || !acceptsCalls(e.State()) || e.Leaving() || m.isLeaving(e) {
 			continue
 		}
 		byService[e.Service()] = append(byService[e.Service()], toCandidate(v, e))
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -25,7 +25,10 @@
 		{"baobab_configuration_number", func() float64 { return float64(n.board.ActiveVersion().Number()) }},
 		{"baobab_configuration_rejected_number", func() float64 { return float64(n.configuration.rejectedNumber()) }},
 		{"baobab_membership_endpoints", n.countEndpoints},
-		{"baobab_upstream_request_limit", n.admitter.notices.requestLimit},
+		{"baobab_upstream_request_limit", func() float64 {
+			limit, _ := n.registry.Notice().RequestLimit()
+			return limit
+		}},
 		{"baobab_quarantine_refused", func() float64 {
 			_, refused := n.quarantine.countFingerprints(n.now())
 			return float64(refused)
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -190,7 +190,7 @@
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
 	n.membership = &membershipController{
 		board: n.board, members: n.members, broadcaster: broadcaster, configuration: n.configuration, transport: n.transport,
-		quarantine: n.quarantine, seeds: n.seeds, now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
+		quarantine: n.quarantine, seeds: n.seeds, registry: n.registry, firstIncarnation: self.Incarnation(), now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
 		peerFound: make(chan struct{}), probeTimeout: s.Membership().ProbeTimeout(),
 		exchangeInterval: s.Membership().ExchangeInterval(),
 	}
@@ -199,7 +199,7 @@
 		clientOptions: n.overrides.clientOptions, probes: s.Upstream().Probes(),
 	}
 	n.admitter = &Admitter{
-		board: n.board, gate: n.gate, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
+		board: n.board, gate: n.gate, registry: n.registry, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
 		decisions: n.decisionLog,
 	}
 	n.bootstrapper = newBootstrapper()
@@ -223,7 +223,7 @@
 		board: n.board, chooser: route.NewChooser(n.endpointStats, route.WithWarmUp(s.Upstream().WarmUp())),
 		endpointStats: n.endpointStats,
 		budgets:       blackboard.NewShardedMap[budgetKey, *route.Budget](), admitter: n.admitter,
-		peerClient: &peerClient{transport: n.transport, now: n.now}, self: n.members.self, ready: n.bootstrapper,
+		peerClient: &peerClient{transport: n.transport, now: n.now}, members: n.members, self: n.members.self, ready: n.bootstrapper,
 		retryCounters: counters, defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
 		decisions: n.decisionLog,
 	}
--- a/baobabnode/peerclient.go
+++ b/baobabnode/peerclient.go
@@ -19,9 +19,16 @@
 	now       func() time.Time
 }
 
+// A loadReport is what an answering node reports about itself and its upstream.
+type loadReport struct {
+	load            route.Load
+	draining        bool
+	leavingUpstream string // Id of the node's upstream if it has said that it leaves; otherwise empty.
+}
+
 // attempt sends a call to the node of an endpoint. It calls report with the load that the answer carries.
 func (c *peerClient) attempt(ctx context.Context, r *admissionRequest, to route.Candidate, number int,
-	report func(route.Load, bool)) attemptResult {
+	report func(loadReport)) attemptResult {
 	deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline.Add(answerGrace))
 	stream, err := c.transport.Open(deadlineCtx, to.Address())
 	if err != nil {
@@ -41,7 +48,7 @@
 
 // roundTrip sends the call and receives the head of the answer.
 func (c *peerClient) roundTrip(s *peer.Stream, r *admissionRequest, number int,
-	report func(route.Load, bool)) attemptResult {
+	report func(loadReport)) attemptResult {
 	if err := c.sendCall(s, r, number); err != nil {
 		return c.unknownOutcome(r, err)
 	}
@@ -54,7 +61,11 @@
 		return c.unknownOutcome(r, errors.New("unexpected message"))
 	}
 	l := m.GetLoad()
-	report(route.NewLoad(int(l.GetInProgress()), int(l.GetLimit()), int(l.GetQueued()), time.Duration(l.GetWaitUs())*time.Microsecond), l.GetDraining())
+	wait := time.Duration(l.GetWaitUs()) * time.Microsecond
+	report(loadReport{
+		load:     route.NewLoad(int(l.GetInProgress()), int(l.GetLimit()), int(l.GetQueued()), wait),
+		draining: l.GetDraining(), leavingUpstream: m.GetLeavingUpstreamId(),
+	})
 	if m.GetRefusal() != nil {
 		refusal := fromWireRefusal(m)
 		return attemptResult{refusal: refusal, outcome: toAttemptOutcome(refusal)}
--- a/baobabnode/upstreamcontroller.go
+++ b/baobabnode/upstreamcontroller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,6 +16,9 @@
 // upstreamCheckInterval is how often missed heartbeats and the health of the upstream are checked.
 const upstreamCheckInterval = 250 * time.Millisecond
 
+// announcedLimitChange is the relative change of an upstream's request limit that is announced to other nodes.
+const announcedLimitChange = 0.1
+
 // An upstreamController follows the announcements of the upstream on this VM. It owns the upstream on the blackboard
 // and the endpoint in the record of this node.
 type upstreamController struct {
@@ -27,7 +31,8 @@
 	now           func() time.Time
 	logger        *log.Logger
 
-	prober *upstream.Prober // Probes the upstream on the blackboard; nil without one.
+	prober          *upstream.Prober // Probes the upstream on the blackboard; nil without one.
+	announcedNotice upstream.Notice  // In the record of this node.
 }
 
 // run follows the upstream until ctx is done.
@@ -90,18 +95,34 @@
 	u := blackboard.NewUpstream(a, state, client, healthTracker)
 	c.board.SetUpstream(u)
 	c.gate.Announce(c.now(), u.Slots(), u.Connections(), u.StartedAt())
-	if old != nil && old.State() == state && old.ID() == u.ID() && old.Service() == u.Service() &&
+	notice := c.registry.Notice()
+	if limit, ok := notice.RequestLimit(); ok {
+		c.gate.SetRequestLimit(c.now(), limit)
+	} else {
+		c.gate.ClearRequestLimit(c.now())
+	}
+	if old != nil && old.State() == state && !c.differsFromAnnounced(notice) && old.ID() == u.ID() && old.Service() == u.Service() &&
 		old.Slots() == u.Slots() && old.Connections() == u.Connections() {
 		return
 	}
+	c.announcedNotice = notice
 	c.logger.Info("upstream changed", "upstream", u.ID(), "service", u.Service(), "state", string(state))
 	c.membership.announceSelf(func(m *membership.Member) {
 		m.SetEndpoint(membership.NewEndpoint(u.Service(), u.ID(), uint32(u.Slots()), uint32(u.Connections()),
-			endpointState(state), u.StartedAt()))
+			endpointState(state), u.StartedAt()).WithNotice(notice.LimitOrNone(), notice.Leaving()))
 		m.SetLabels(u.Labels())
 	})
 }
 
+// differsFromAnnounced reports whether a notice differs from the one in the record of this node by more than a small
+// change of the request limit.
+func (c *upstreamController) differsFromAnnounced(n upstream.Notice) bool {
+	limit, limited := n.RequestLimit()
+	announced, wasLimited := c.announcedNotice.RequestLimit()
+	return n.Leaving() != c.announcedNotice.Leaving() || limited != wasLimited ||
+		math.Abs(limit-announced) > announcedLimitChange*announced
+}
+
 // clientFor returns the client and the health tracker for the announced upstream. It reuses those of the old one if it
 // is the same process at the same address with the same number of connections.
 func (c *upstreamController) clientFor(old *blackboard.Upstream, a upstream.Announcement) (*upstream.Client, *upstream.HealthTracker) {
@@ -113,7 +134,6 @@
 	if old != nil {
 		old.Client().Close()
 	}
-	c.gate.ClearRequestLimit(c.now())
 	healthTracker := upstream.NewHealthTracker()
 	if c.probes {
 		c.prober = upstream.NewProber(a.Address(), func(r upstream.ProbeResult) { healthTracker.RecordProbe(r.Healthy()) })
--- a/baobabproof/requestlimit_test.go
+++ b/baobabproof/requestlimit_test.go
@@ -72,3 +72,40 @@
 	load.Stop()
 	checkHistories(t, m, caller.Records())
 }
+
+// TestRequestLimitForgottenAtRestart guards against a restarted node that fills all slots of its upstream because it does
+// not know yet that the upstream states a limit.
+func TestRequestLimitForgottenAtRestart(t *testing.T) {
+	t.Parallel()
+	const perSecond, applied = 2.0, 2 * time.Second
+	m := startMesh(t, "repair")
+	ctx := testContext(t)
+	f := newFaultInjector(t, m)
+	limited, entries := m.NodesOfService("quotes"), m.NodesOfService("archive")
+	caller := baobabemulator.NewCaller("limit")
+	defer caller.Close()
+	load := baobabemulator.StartLoad(ctx, 40, 2*time.Millisecond, func(ctx context.Context, serial int64) {
+		caller.Do(ctx, entries[serial%int64(len(entries))].EntryURL(), baobabemulator.CallerRequest{
+			Method: http.MethodGet, Path: "/quotes", Query: "delay_ms=600", Timeout: 3 * time.Second,
+		})
+	})
+	defer load.Stop()
+	f.waitNextCall(ctx, limited[0])
+	f.setBehaviour(`{"request_limit": 2}`, `{"request_limit": 0}`, limited...)
+	stated := time.Now()
+	f.waitUntil(ctx, "a window to pass", func() bool { return time.Since(stated) > applied+limitWindow })
+	limited[0].NodeProcess().Kill()
+	if err := limited[0].NodeProcess().Start(); err != nil {
+		t.Fatal(err)
+	}
+	restarted := time.Now()
+	f.waitUntil(ctx, "a window after the restart", func() bool { return time.Since(restarted) > 2*limitWindow })
+	for _, n := range limited {
+		most := mostRequests(t, n, stated.Add(applied))
+		if allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
+			t.Errorf("%s got %d requests in %v, at most %.0f are allowed", n.ID(), most, limitWindow, allowed)
+		}
+	}
+	load.Stop()
+	checkHistories(t, m, caller.Records())
+}
--- a/baobabupstream/notice.go
+++ b/baobabupstream/notice.go
@@ -16,6 +16,14 @@
 	leaving      bool
 }
 
+// NewNotice returns a notice with a request limit, or without one if perSecond is negative.
+func NewNotice(perSecond float64, leaving bool) Notice {
+	if perSecond < 0 {
+		return Notice{leaving: leaving}
+	}
+	return Notice{limited: true, requestLimit: perSecond, leaving: leaving}
+}
+
 // ParseNotice returns the notice in the header of an answer. A limit that is not a finite number of at least 0 is no
 // limit.
 func ParseNotice(names call.HeaderNames, h http.Header) Notice {
@@ -31,6 +39,14 @@
 	return n
 }
 
+// LimitOrNone returns the request limit, or a negative number without one.
+func (n Notice) LimitOrNone() float64 {
+	if !n.limited {
+		return -1
+	}
+	return n.requestLimit
+}
+
 // RequestLimit returns the requests per second that the upstream takes from all nodes together, and whether it states a
 // limit.
 func (n Notice) RequestLimit() (perSecond float64, ok bool) { return n.requestLimit, n.limited }
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -27,6 +27,21 @@
 	departedAt          time.Time
 	departedStartedAt   time.Time // Start time of the upstream that left last; zero: unknown.
 	supersededRefusedAt time.Time // First refusal of a superseded process since lastHeartbeatAt.
+	notice              Notice    // Last notice of the current process; its leaving is final.
+	inherited           inheritedNotice
+}
+
+// An inheritedNotice is the last notice of an upstream that an earlier process of this node received.
+type inheritedNotice struct {
+	upstreamID string    // Empty: none.
+	startedAt  time.Time // Of the upstream, within startJitter.
+	notice     Notice
+}
+
+// concerns reports whether a comes from the process that gave the notice.
+func (i inheritedNotice) concerns(a Announcement) bool {
+	return i.upstreamID != "" && a.upstreamID == i.upstreamID &&
+		(a.startedAt.IsZero() || a.startedAt.Sub(i.startedAt) <= startJitter)
 }
 
 // RegistryOption sets an optional property of a Registry.
@@ -70,6 +85,11 @@
 	}
 	if r.sameProcess(a) {
 		a.startedAt = r.current.startedAt
+	} else {
+		r.notice = Notice{}
+		if r.inherited.concerns(a) {
+			r.notice = r.inherited.notice
+		}
 	}
 	same := r.state == a.state && a.equalExceptStart(r.current) && a.startedAt.Equal(r.current.startedAt)
 	r.current, r.state, r.lastHeartbeatAt = a, a.state, now
@@ -132,6 +152,45 @@
 		a.startedAt.Sub(r.current.startedAt).Abs() <= startTolerance(a)
 }
 
+// ObserveNotice records what the upstream said about itself in an answer, and reports whether that is new. An upstream
+// that leaves gets no new calls, whatever it announces afterwards.
+func (r *Registry) ObserveNotice(upstreamID string, n Notice) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == "" || r.current.upstreamID != upstreamID {
+		return false
+	}
+	return r.applyNotice(n)
+}
+
+// InheritNotice records the last notice of an upstream that an earlier process of this node received. It has no effect
+// on a process of the upstream that started later.
+func (r *Registry) InheritNotice(upstreamID string, startedAt time.Time, n Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inherited = inheritedNotice{upstreamID: upstreamID, startedAt: startedAt, notice: n}
+	if r.state != "" && r.notice == (Notice{}) && r.inherited.concerns(r.current) {
+		r.applyNotice(n)
+	}
+}
+
+func (r *Registry) applyNotice(n Notice) bool {
+	n.leaving = n.leaving || r.notice.leaving
+	if n == r.notice {
+		return false
+	}
+	r.notice = n
+	r.notify()
+	return true
+}
+
+// Notice returns the last notice of the announced upstream.
+func (r *Registry) Notice() Notice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notice
+}
+
 // Leave removes the upstream and reports whether it was announced.
 func (r *Registry) Leave(now time.Time, upstreamID string) bool {
 	r.mu.Lock()
@@ -144,7 +203,7 @@
 		return false
 	}
 	r.departedID, r.departedAt, r.departedStartedAt = upstreamID, now, r.current.startedAt
-	r.current, r.state = Announcement{}, ""
+	r.current, r.state, r.notice = Announcement{}, "", Notice{leaving: true}
 	r.notify()
 	return true
 }
