upstream, node: an upstream that says in its answers that it leaves gets no new calls

Callers saw: nothing yet; by the users' new rule a request must not reach an upstream later than a bound after a node has passed on an answer that says so, and nothing read it. An upstream that announces itself as ready, or whose node was restarted meanwhile, went on being used. Cause: leaving was known from announcements alone. Ruled out: relying on the record of the node beside the upstream alone: it may be killed before it has told others. Conclusion: fixed unless all nodes that know of it are restarted.

--- a/baobabemulator/upstreambehaviour.go
+++ b/baobabemulator/upstreambehaviour.go
@@ -39,6 +39,7 @@
 	AnnouncedSlots int                  `json:"announce_slots"`  // Not zero: announced instead of Slots.
 	IgnoreCancel   bool                 `json:"ignore_cancel"`   // Finish the call even if the client has gone.
 	IgnoreTimeout  bool                 `json:"ignore_deadline"` // Finish the call even if Baobab-Timeout-Ms has expired.
+	Leaving        bool                 `json:"leaving"`         // Said in answers; nothing is announced.
 	RequestLimit   float64              `json:"request_limit"`   // Not zero: stated in answers, in requests per second.
 }
 
--- a/baobabemulator/upstreamhandler.go
+++ b/baobabemulator/upstreamhandler.go
@@ -93,6 +93,9 @@
 		return
 	}
 	b := u.Behaviour()
+	if b.Leaving {
+		w.Header().Set("Baobab-Leaving", "1")
+	}
 	if b.RequestLimit > 0 {
 		w.Header().Set("Baobab-Request-Limit", strconv.FormatFloat(b.RequestLimit, 'f', -1, 64))
 	}
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -123,6 +123,7 @@
 	defer cancel()
 	answer, refusal := h.admitter.Admit(ctx, h.now(), r)
 	m := toWireAnswer(answer, refusal, h.admitter.Load(h.now()))
+	m.LeavingUpstreamId = h.admitter.leavingUpstream()
 	envelope := &wire.Envelope{Body: &wire.Envelope_CallAnswer{CallAnswer: m}}
 	if refusal != nil {
 		_ = s.SendWithBody(envelope, nil)
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -91,6 +91,9 @@
 			r.notice = r.inherited.notice
 		}
 	}
+	if r.notice.leaving {
+		a.state = StateDraining
+	}
 	same := r.state == a.state && a.equalExceptStart(r.current) && a.startedAt.Equal(r.current.startedAt)
 	r.current, r.state, r.lastHeartbeatAt = a, a.state, now
 	if !same {
@@ -180,6 +183,9 @@
 		return false
 	}
 	r.notice = n
+	if n.leaving && r.state.AcceptsCalls() {
+		r.state, r.current.state = StateDraining, StateDraining
+	}
 	r.notify()
 	return true
 }
