--- a/baobabplatform/client.go
+++ b/baobabplatform/client.go
@@ -45,7 +45,7 @@
 	if err := CheckKey(key); err != nil {
 		return Row{}, false, NewError(operation, KindInvalid, err)
 	}
-	body, err := c.requester.Read(ctx, operation, "/v1/table/row?key="+url.QueryEscape(key))
+	response, err := c.requester.Read(ctx, operation, "/v1/table/row?key="+url.QueryEscape(key))
 	if KindOf(err) == KindNotFound {
 		return Row{}, false, nil
 	}
@@ -53,7 +53,7 @@
 		return Row{}, false, err
 	}
 	var r Row
-	if err := json.Unmarshal(body, &r); err != nil {
+	if err := json.Unmarshal(response.Data(), &r); err != nil {
 		return Row{}, false, NewError(operation, KindUnavailable, err)
 	}
 	if r.key != key || r.revision == 0 {
@@ -65,14 +65,14 @@
 // Scan implements Store.
 func (c *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
 	const operation = "scan"
-	body, err := c.requester.Read(ctx, operation, "/v1/table/scan?prefix="+url.QueryEscape(prefix))
+	response, err := c.requester.Read(ctx, operation, "/v1/table/scan?prefix="+url.QueryEscape(prefix))
 	if err != nil {
 		return nil, err
 	}
 	var j struct {
 		Rows []Row `json:"rows"`
 	}
-	if err := json.Unmarshal(body, &j); err != nil {
+	if err := json.Unmarshal(response.Data(), &j); err != nil {
 		return nil, NewError(operation, KindUnavailable, err)
 	}
 	for i, r := range j.Rows {
@@ -93,14 +93,14 @@
 	if err != nil {
 		return 0, NewError(operation, KindInvalid, err)
 	}
-	body, err := c.requester.Write(ctx, operation, http.MethodPost, "/v1/table/commit", "application/json", data)
+	response, err := c.requester.Write(ctx, operation, http.MethodPost, "/v1/table/commit", "application/json", data)
 	if err != nil {
 		return 0, err
 	}
 	var j struct {
 		Revision *uint64 `json:"revision"`
 	}
-	if err := json.Unmarshal(body, &j); err != nil {
+	if err := json.Unmarshal(response.Data(), &j); err != nil {
 		return 0, NewError(operation, KindUnknownOutcome, err)
 	}
 	if j.Revision == nil {
@@ -128,7 +128,8 @@
 	if err := CheckObjectName(name); err != nil {
 		return nil, NewError(operation, KindInvalid, err)
 	}
-	return c.requester.Read(ctx, operation, "/v1/objects/"+name)
+	response, err := c.requester.Read(ctx, operation, "/v1/objects/"+name)
+	return response.Data(), err
 }
 
 // CheckObjectName returns an error unless the name consists of segments of letters, digits, "_", "-" and "."
--- a/baobabplatform/error.go
+++ b/baobabplatform/error.go
@@ -31,7 +31,8 @@
 type Error struct {
 	operation string
 	kind      Kind
-	rows      []Row // Current rows with the keys of a conflicting transaction's conditions, without absent rows.
+	rows      []Row  // Current rows with the keys of a conflicting transaction's conditions, without absent rows.
+	era       uint64 // Of the store that responded; 0 if unknown.
 	cause     error
 }
 
@@ -51,6 +52,9 @@
 // Kind returns the kind of the failure.
 func (e *Error) Kind() Kind { return e.kind }
 
+// Era returns the era of the store that responded with the error, or 0 if it is unknown.
+func (e *Error) Era() uint64 { return e.era }
+
 // Row returns the current row with the key after a conflict, and whether it exists.
 func (e *Error) Row(key string) (Row, bool) {
 	for _, r := range e.rows {
--- a/baobabplatform/requester.go
+++ b/baobabplatform/requester.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +41,8 @@
 	maxResponseBytes   int64
 	conflictStatus     int
 	decodeConflictRows func([]byte) ([]Row, error)
+	eraField           string        // Header field with the era of the store; empty: none.
+	era                atomic.Uint64 // Highest one in a response so far.
 	transport          *http.Transport
 	client             *http.Client
 }
@@ -60,6 +64,9 @@
 	return func(r *Requester) { r.conflictStatus, r.decodeConflictRows = status, decode }
 }
 
+// WithEraField sets the name of the header field with the era of the store.
+func WithEraField(name string) RequesterOption { return func(r *Requester) { r.eraField = name } }
+
 // NewRequester returns a requester for the platform at an http or https address such as "http://127.0.0.1:7000".
 func NewRequester(address string, options ...RequesterOption) (*Requester, error) {
 	u, err := url.Parse(address)
@@ -97,22 +104,25 @@
 // Close closes idle connections.
 func (r *Requester) Close() { r.transport.CloseIdleConnections() }
 
+// Era returns the highest era of the store that a response has named, or 0.
+func (r *Requester) Era() uint64 { return r.era.Load() }
+
 // Read sends a request without effect, so every failure to get a response is KindUnavailable.
-func (r *Requester) Read(ctx context.Context, operation, path string) ([]byte, error) {
+func (r *Requester) Read(ctx context.Context, operation, path string) (Response, error) {
 	return r.ReadWithTimeout(ctx, r.timeout, operation, path)
 }
 
 // ReadWithTimeout is Read with a timeout of its own, for a request that waits for changes.
-func (r *Requester) ReadWithTimeout(ctx context.Context, timeout time.Duration, operation, path string) ([]byte, error) {
+func (r *Requester) ReadWithTimeout(ctx context.Context, timeout time.Duration, operation, path string) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.baseURL+path, http.NoBody)
 	if err != nil {
-		return nil, NewError(operation, KindInvalid, err)
+		return Response{}, NewError(operation, KindInvalid, err)
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return nil, NewError(operation, KindUnavailable, err)
+		return Response{}, NewError(operation, KindUnavailable, err)
 	}
 	defer response.Body.Close()
 	return r.readResponse(operation, response, KindUnavailable)
@@ -122,13 +132,13 @@
 // KindUnknownOutcome, unless the response says that nothing was applied. The options modify the request before it is sent.
 func (r *Requester) Write(
 	ctx context.Context, operation, method, path, contentType string, data []byte, options ...func(*http.Request),
-) ([]byte, error) {
+) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	body := newSingleUseBody(data)
 	request, err := http.NewRequestWithContext(ctx, method, r.baseURL+path, body)
 	if err != nil {
-		return nil, NewError(operation, KindInvalid, err)
+		return Response{}, NewError(operation, KindInvalid, err)
 	}
 	request.ContentLength = int64(len(data))
 	request.Header.Set("Content-Type", contentType)
@@ -139,17 +149,45 @@
 	if err != nil {
 		// The platform applies a write only after it has read the whole body.
 		if body.withdraw() {
-			return nil, NewError(operation, KindUnavailable, err)
+			return Response{}, NewError(operation, KindUnavailable, err)
 		}
-		return nil, NewError(operation, KindUnknownOutcome, err)
+		return Response{}, NewError(operation, KindUnknownOutcome, err)
 	}
 	defer response.Body.Close()
 	return r.readResponse(operation, response, KindUnknownOutcome)
 }
 
-// readResponse returns the body of a successful response, or an error whose kind follows from the status code. The kind
-// is fallback for a truncated successful response and for a status code that says nothing about the effect.
-func (r *Requester) readResponse(operation string, response *http.Response, fallback Kind) ([]byte, error) {
+// readResponse returns a successful response, or an error whose kind follows from the status code. The kind is fallback
+// for a truncated successful response and for a status code that says nothing about the effect.
+func (r *Requester) readResponse(operation string, response *http.Response, fallback Kind) (Response, error) {
+	era := r.observeEra(response.Header)
+	data, err := r.readBody(operation, response, fallback)
+	var e *Error
+	if errors.As(err, &e) {
+		e.era = era
+	}
+	return Response{data: data, era: era}, err
+}
+
+// observeEra returns the era of the store in a header, or 0.
+func (r *Requester) observeEra(h http.Header) uint64 {
+	if r.eraField == "" {
+		return 0
+	}
+	era, err := strconv.ParseUint(h.Get(r.eraField), 10, 64)
+	if err != nil {
+		return 0
+	}
+	for {
+		highest := r.era.Load()
+		if era <= highest || r.era.CompareAndSwap(highest, era) {
+			return era
+		}
+	}
+}
+
+// readBody is readResponse without the era.
+func (r *Requester) readBody(operation string, response *http.Response, fallback Kind) ([]byte, error) {
 	limit := r.maxResponseBytes
 	if response.StatusCode != http.StatusOK {
 		limit = maxErrorResponseBytes
