release: a version accepted after a restore of the platform gets a new number

Operators would see: a version that is accepted after the platform came back from an older copy gets a number that nodes have in force already, and is in force nowhere (another digest under number N). Change: the next number is also higher than any that the accepting node has heard of. The emulated platform copies and restores itself and names its era. Evidence: TestAcceptAfterRestore without the change: version 3 is accepted while nodes have 5 in force, and its route is served by no node; passes with it. Conclusion: fixed for versions.

--- a/baobabemulator/mesh.go
+++ b/baobabemulator/mesh.go
@@ -238,6 +238,16 @@
 	return postJSON(ctx, m.PlatformURL()+"/v1/faults", fields)
 }
 
+// CopyPlatform makes the copy from which RestorePlatform brings the platform back.
+func (m *Mesh) CopyPlatform(ctx context.Context) error {
+	return postJSON(ctx, m.PlatformURL()+"/v1/copy", "")
+}
+
+// RestorePlatform brings the platform back from its last copy.
+func (m *Mesh) RestorePlatform(ctx context.Context) error {
+	return postJSON(ctx, m.PlatformURL()+"/v1/restore", "")
+}
+
 // PlatformCounters returns the counters of the platform.
 func (m *Mesh) PlatformCounters(ctx context.Context) (PlatformCounters, error) {
 	var c PlatformCounters
--- a/baobabemulator/platform.go
+++ b/baobabemulator/platform.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,11 +62,23 @@
 	p.mux.HandleFunc("POST /v1/faults", p.handleSetFaults)
 	p.mux.HandleFunc("GET /v1/faults", p.handleGetFaults)
 	p.mux.HandleFunc("GET /v1/counters", p.handleGetCounters)
+	p.mux.HandleFunc("POST /v1/copy", func(w http.ResponseWriter, _ *http.Request) { p.table.makeCopy() })
+	p.mux.HandleFunc("POST /v1/restore", p.handleRestore)
 	return p
 }
 
 // ServeHTTP implements http.Handler.
-func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(platform.EraField, strconv.FormatUint(p.table.currentEra(), 10))
+	p.mux.ServeHTTP(w, r)
+}
+
+// handleRestore brings the platform back from its last copy.
+func (p *Platform) handleRestore(w http.ResponseWriter, _ *http.Request) {
+	if !p.table.restore() {
+		writePlatformResponse(w, platformErrorResponse(platform.NewError("restore", platform.KindNotFound, nil)))
+	}
+}
 
 // Faults returns the current faults.
 func (p *Platform) Faults() PlatformFaults { return p.injector.get() }
--- a/baobabemulator/platformtable.go
+++ b/baobabemulator/platformtable.go
@@ -20,11 +20,46 @@
 	rows      map[string]platform.Row
 	objects   map[string][]byte
 	staleRows map[string]platform.Row // If not nil, reads of rows return this older state.
+	era       uint64                  // Rises with each restore; 1 at first.
+	copied    *platformCopy           // Nil before the first copy.
+}
+
+// A platformCopy is the state of a table at one time.
+type platformCopy struct {
+	revision uint64
+	rows     map[string]platform.Row
+	objects  map[string][]byte
+}
+
+// makeCopy copies the rows and objects, for a later restore.
+func (t *PlatformTable) makeCopy() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.copied = &platformCopy{revision: t.revision, rows: maps.Clone(t.rows), objects: maps.Clone(t.objects)}
+}
+
+// restore returns to the last copy: what was written since is lost, and its revisions are given out again. It reports
+// whether there is a copy.
+func (t *PlatformTable) restore() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.copied == nil {
+		return false
+	}
+	t.revision, t.rows, t.objects = t.copied.revision, maps.Clone(t.copied.rows), maps.Clone(t.copied.objects)
+	t.era++
+	return true
+}
+
+func (t *PlatformTable) currentEra() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
 }
 
 // NewPlatformTable returns an empty table.
 func NewPlatformTable() *PlatformTable {
-	return &PlatformTable{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &PlatformTable{rows: map[string]platform.Row{}, objects: map[string][]byte{}, era: 1}
 }
 
 // SetStaleReads enables or disables stale reads. While they are enabled, reads of rows return the state at the time they
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -177,7 +177,7 @@
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
-	n.releases = release.NewRepository(n.store)
+	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
 	if source == nil {
 		source = n.releases
--- a/baobabplatform/client.go
+++ b/baobabplatform/client.go
@@ -15,12 +15,15 @@
 	requester *Requester
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store      = (*Client)(nil)
+	_ Restorable = (*Client)(nil)
+)
 
 // NewClient returns a client of the platform at an http or https address such as "http://127.0.0.1:7000".
 func NewClient(address string, options ...RequesterOption) (*Client, error) {
 	requester, err := NewRequester(address,
-		append([]RequesterOption{WithConflict(http.StatusConflict, decodeConflictRows)}, options...)...)
+		append([]RequesterOption{WithConflict(http.StatusConflict, decodeConflictRows), WithEraField(EraField)}, options...)...)
 	if err != nil {
 		return nil, err
 	}
@@ -39,6 +42,9 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.requester.Close() }
 
+// Era implements Restorable.
+func (c *Client) Era() uint64 { return c.requester.Era() }
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Row, bool, error) {
 	const operation = "get"
--- a/baobabplatform/response.go
+++ b/baobabplatform/response.go
@@ -1,5 +1,8 @@
 package baobabplatform
 
+// EraField is the header field with the era of the store in the project's own protocol.
+const EraField = "Baobab-Store-Era"
+
 // A Response is a successful response of the platform.
 type Response struct {
 	data []byte
--- a/baobabplatform/store.go
+++ b/baobabplatform/store.go
@@ -2,6 +2,12 @@
 
 import "context"
 
+// A Restorable is a Store that tells when it was restored from an older copy and has lost what was written since.
+type Restorable interface {
+	// Era returns a number that rises with each restore, or 0 if it is unknown yet.
+	Era() uint64
+}
+
 // A Store holds rows in a transactional table and immutable named objects. Every error is an *Error.
 type Store interface {
 	// Get returns the row with the key, and whether it exists.
--- /dev/null
+++ b/baobabproof/restore_test.go
@@ -0,0 +1,33 @@
+package baobabproof
+
+import (
+	"testing"
+
+	"github.com/baobabdale/baobabdale/baobabemulator"
+)
+
+// TestAcceptAfterRestore guards against a version that is accepted after the platform was restored from an older copy and
+// is in force nowhere, because nodes have an earlier one with its number.
+func TestAcceptAfterRestore(t *testing.T) {
+	m := startObservedMesh(t)
+	ctx := testContext(t)
+	nodes := m.Nodes()
+	m.acceptRoute(ctx, nodes[0])
+	if err := m.CopyPlatform(ctx); err != nil {
+		t.Fatal(err)
+	}
+	var lost uint64
+	for range 3 {
+		_, lost = m.acceptRoute(ctx, nodes[1])
+	}
+	m.waitVersion(ctx, "before the restore", lost)
+	if err := m.RestorePlatform(ctx); err != nil {
+		t.Fatal(err)
+	}
+	route, number := m.acceptRoute(ctx, nodes[2])
+	if number <= lost {
+		t.Errorf("version %d was accepted, nodes have %d in force", number, lost)
+	}
+	m.waitVersion(ctx, "after the restore", number)
+	m.checkAnswered(ctx, baobabemulator.RoutePathPrefix(route), nodes...)
+}
--- a/baobabrelease/accept.go
+++ b/baobabrelease/accept.go
@@ -19,7 +19,7 @@
 
 func snapshotObjectName(d configuration.Digest) string { return "snapshot/" + d.String() }
 
-// Accept makes the candidate the next version. In one transaction it moves the head from version n to n+1 and
+// Accept makes the candidate the next version. In one transaction it moves the head to the next higher number and
 // records the result under the operation id, provided that no edit has changed since the candidate was read. Accept is
 // idempotent: repeating it with the same id returns the same result. If expected is not zero, Accept fails unless the
 // candidate has that digest.
@@ -147,7 +147,7 @@
 		e.problems = problems
 		return e
 	}
-	a.next = configuration.NewSnapshot(a.head.version.Number()+1, d)
+	a.next = configuration.NewSnapshot(max(a.head.version.Number(), a.repository.highest())+1, d)
 	return nil
 }
 
--- a/baobabrelease/repository.go
+++ b/baobabrelease/repository.go
@@ -16,6 +16,7 @@
 type Repository struct {
 	store       platform.Store
 	retryDelays []time.Duration // Before each attempt to resolve a write whose response was lost.
+	highest     func() uint64   // Highest version number that is known apart from the store.
 }
 
 // Option sets an optional property of a Repository.
@@ -27,10 +28,16 @@
 	return func(r *Repository) { r.retryDelays = delays }
 }
 
+// WithHighestNumber sets a function that returns the highest version number known apart from the store. New versions get
+// higher numbers, also after the store was restored from a copy that does not have the newest versions: nodes that have
+// them in force ignore another version with a number that is not higher.
+func WithHighestNumber(f func() uint64) Option { return func(r *Repository) { r.highest = f } }
+
 // NewRepository returns the repository in the store.
 func NewRepository(store platform.Store, options ...Option) *Repository {
 	r := &Repository{
 		store:       store,
+		highest:     func() uint64 { return 0 },
 		retryDelays: []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond},
 	}
 	for _, o := range options {
