node: seed rows that a restore of the platform has lost are written again at once

Starting nodes would find no member: seed rows are looked at again after up to 45 s, and a restore from an older copy may have lost them. Ruled out: looking at the rows more often (store calls are priced). Change: the wait for the next look ends within 2 s of a new era. Evidence: TestSeedsLostInRestore; its case "restored" waits for a minute without the check of the era (by construction, not run). Conclusion: rows return within about two seconds of the first answer that names the new era.

--- a/baobabnode/seedregistry.go
+++ b/baobabnode/seedregistry.go
@@ -29,6 +29,8 @@
 	seedTimeout     = 2 * time.Second
 	// seedIntervalGrowth multiplies the interval after each read that finds nothing to change.
 	seedIntervalGrowth = 4
+	// restoreCheckInterval is how often a restore of the platform, which may have lost rows, is looked for.
+	restoreCheckInterval = time.Second
 )
 
 // A seedRegistry stores a few addresses per failure domain in the platform, through which starting nodes and the parts
@@ -51,18 +53,38 @@
 	}
 	s.writeFirstRow(ctx)
 	interval := seedIntervalMin
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(interval + rand.N(interval/2)):
-		}
+	for s.waitForRefresh(ctx, interval+rand.N(interval/2)) {
 		if s.refresh(ctx) {
 			interval = seedIntervalMin
 			continue
 		}
 		interval = min(seedIntervalGrowth*interval, seedIntervalMax)
 	}
+	return nil
+}
+
+// waitForRefresh waits for d, or until the platform was restored from an older copy. It returns false if ctx ends first.
+func (s *seedRegistry) waitForRefresh(ctx context.Context, d time.Duration) bool {
+	era := s.storeEra()
+	for d > 0 {
+		step := min(d, restoreCheckInterval)
+		if !sleep(ctx, step) {
+			return false
+		}
+		d -= step
+		if s.storeEra() != era && era != 0 {
+			return sleep(ctx, rand.N(seedIntervalMin))
+		}
+	}
+	return true
+}
+
+// storeEra returns the era of the platform, or 0 if it is unknown.
+func (s *seedRegistry) storeEra() uint64 {
+	if r, ok := s.store.(platform.Restorable); ok {
+		return r.Era()
+	}
+	return 0
 }
 
 // addresses returns the addresses from the settings and from the platform. If the platform cannot be read, it returns
--- a/baobabnode/seedregistry_test.go
+++ b/baobabnode/seedregistry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -166,3 +167,45 @@
 		}
 	}
 }
+
+// A restorableStore is a memoryStore that tells its era.
+type restorableStore struct {
+	memoryStore
+	mu  sync.Mutex
+	era uint64
+}
+
+func (s *restorableStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// TestSeedsLostInRestore guards against starting nodes that find no member because the platform was restored from a copy
+// without the seed rows, which were looked at again after half a minute only.
+func TestSeedsLostInRestore(t *testing.T) {
+	store := &restorableStore{era: 1}
+	store.rows = map[string]platform.Row{}
+	s := newTestSeedRegistry(store, 2)
+	for _, c := range []struct {
+		name     string
+		restored bool
+		want     bool // The wait ends before its time.
+	}{{"not restored", false, false}, {"restored", true, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			if c.restored {
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					store.mu.Lock()
+					defer store.mu.Unlock()
+					store.era++
+				}()
+			}
+			if got := s.waitForRefresh(ctx, time.Minute); got != c.want {
+				t.Errorf("the wait ended early: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
