--- a/baobabproof/restore_test.go
+++ b/baobabproof/restore_test.go
@@ -1,7 +1,9 @@
 package baobabproof
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/baobabdale/baobabdale/baobabemulator"
 )
@@ -31,3 +33,28 @@
 	m.waitVersion(ctx, "after the restore", number)
 	m.checkAnswered(ctx, baobabemulator.RoutePathPrefix(route), nodes...)
 }
+
+// TestKeyRunsAgainAfterRestore guards against a second run of a keyed request whose claim the platform has lost, because it
+// was restored from an older copy.
+func TestKeyRunsAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	m := startMesh(t, "booking")
+	ctx := testContext(t)
+	caller := baobabemulator.NewCaller("restore")
+	defer caller.Close()
+	if err := m.CopyPlatform(ctx); err != nil {
+		t.Fatal(err)
+	}
+	entries := baobabemulator.EntryURLs(m.NodesOfService("availability")...)
+	r := baobabemulator.CallerRequest{Method: http.MethodPost, Path: "/deposits", Key: "once", Caller: "club", Content: "once"}
+	if first := caller.DoUntilAnswered(ctx, entries[:1], r, 50*time.Millisecond); !first.Answered() {
+		t.Fatalf("first request: status %d, refusal %q, err %v", first.Status, first.Refusal, first.Err)
+	}
+	if err := m.RestorePlatform(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		caller.Do(ctx, e, r)
+	}
+	checkHistories(t, m, caller.Records())
+}
