--- a/baobabemulator/platform.go
+++ b/baobabemulator/platform.go
@@ -62,7 +62,7 @@
 	p.mux.HandleFunc("POST /v1/faults", p.handleSetFaults)
 	p.mux.HandleFunc("GET /v1/faults", p.handleGetFaults)
 	p.mux.HandleFunc("GET /v1/counters", p.handleGetCounters)
-	p.mux.HandleFunc("POST /v1/copy", func(w http.ResponseWriter, _ *http.Request) { p.table.makeCopy() })
+	p.mux.HandleFunc("POST /v1/copy", func(http.ResponseWriter, *http.Request) { p.table.makeCopy() })
 	p.mux.HandleFunc("POST /v1/restore", p.handleRestore)
 	return p
 }
--- a/baobabproof/requestlimit_test.go
+++ b/baobabproof/requestlimit_test.go
@@ -35,6 +35,25 @@
 	return most
 }
 
+// stateLimits waits for a call at the first of the nodes and then makes their upstreams state a limit. It returns when
+// they began to.
+func stateLimits(ctx context.Context, f *faultInjector, fields string, nodes []*baobabemulator.MeshNode) time.Time {
+	f.waitNextCall(ctx, nodes[0])
+	f.setBehaviour(fields, `{"request_limit": 0}`, nodes...)
+	return time.Now()
+}
+
+// checkLimit checks that a node's upstream got no more requests in any window than its limit in requests per second
+// allows, and returns the highest number.
+func checkLimit(t *testing.T, n *baobabemulator.MeshNode, after time.Time, perSecond float64) int {
+	t.Helper()
+	most := mostRequests(t, n, after)
+	if allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
+		t.Errorf("%s got %d requests in %v, at most %.0f are allowed", n.ID(), most, limitWindow, allowed)
+	}
+	return most
+}
+
 // TestRequestLimitExceeded guards against an upstream that gets more requests, summed over all entries, than it states
 // that it takes.
 func TestRequestLimitExceeded(t *testing.T) {
@@ -51,15 +70,10 @@
 			baobabemulator.CallerRequest{Method: http.MethodGet, Path: "/availability", Timeout: time.Second})
 	})
 	defer load.Stop()
-	f.waitNextCall(ctx, limited[0])
-	f.setBehaviour(`{"request_limit": 20}`, `{"request_limit": 0}`, limited...)
-	stated := time.Now()
+	stated := stateLimits(ctx, f, `{"request_limit": 20}`, limited)
 	f.waitUntil(ctx, "two windows to pass", func() bool { return time.Since(stated) > 2*limitWindow })
 	for _, n := range limited {
-		most := mostRequests(t, n, stated.Add(applied))
-		if allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
-			t.Errorf("%s got %d requests in %v, at most %.0f are allowed", n.ID(), most, limitWindow, allowed)
-		}
+		most := checkLimit(t, n, stated.Add(applied), perSecond)
 		if least := perSecond * limitWindow.Seconds() / 2; float64(most) < least {
 			t.Errorf("%s got %d requests in %v, it takes %.0f", n.ID(), most, limitWindow, 2*least)
 		}
@@ -90,9 +104,7 @@
 		})
 	})
 	defer load.Stop()
-	f.waitNextCall(ctx, limited[0])
-	f.setBehaviour(`{"request_limit": 2}`, `{"request_limit": 0}`, limited...)
-	stated := time.Now()
+	stated := stateLimits(ctx, f, `{"request_limit": 2}`, limited)
 	f.waitUntil(ctx, "a window to pass", func() bool { return time.Since(stated) > applied+limitWindow })
 	limited[0].NodeProcess().Kill()
 	if err := limited[0].NodeProcess().Start(); err != nil {
@@ -101,10 +113,7 @@
 	restarted := time.Now()
 	f.waitUntil(ctx, "a window after the restart", func() bool { return time.Since(restarted) > 2*limitWindow })
 	for _, n := range limited {
-		most := mostRequests(t, n, stated.Add(applied))
-		if allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
-			t.Errorf("%s got %d requests in %v, at most %.0f are allowed", n.ID(), most, limitWindow, allowed)
-		}
+		checkLimit(t, n, stated.Add(applied), perSecond)
 	}
 	load.Stop()
 	checkHistories(t, m, caller.Records())
