--- a/baobabadmission/pacer_test.go
+++ b/baobabadmission/pacer_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// TestPacerRate guards against more permits in a window than the limit and one burst allow, and against a limit that is
-// not used, for requests that arrive faster than the limit and for limits that change.
+// TestPacerRate guards against permits beyond the limit, also when times are passed out of order, and against unused ones.
 func TestPacerRate(t *testing.T) {
 	const window, maxReadDelay = 4 * time.Second, 20 * time.Millisecond
 	for _, c := range []struct {
@@ -47,8 +46,7 @@
 	}
 }
 
-// TestRequestLimitWaits checks that requests beyond the limit wait for it although slots are free, that one which cannot
-// be served in time is refused at once, and that the end of the limit lets all waiting ones go.
+// TestRequestLimitWaits guards against requests that exceed a stated limit, or that wait for it beyond their deadline.
 func TestRequestLimitWaits(t *testing.T) {
 	now := time.Now()
 	g := NewGate(WithAnnouncedLimit())
--- a/baobabnode/seedregistry_test.go
+++ b/baobabnode/seedregistry_test.go
@@ -181,8 +181,7 @@
 	return s.era
 }
 
-// TestSeedsLostInRestore guards against starting nodes that find no member because the platform was restored from a copy
-// without the seed rows, which were looked at again after half a minute only.
+// TestSeedsLostInRestore guards against seed rows that stay lost for half a minute after a restore.
 func TestSeedsLostInRestore(t *testing.T) {
 	store := &restorableStore{era: 1}
 	store.rows = map[string]platform.Row{}
--- a/baobabproof/leavingnotice_test.go
+++ b/baobabproof/leavingnotice_test.go
@@ -9,8 +9,7 @@
 	"github.com/baobabdale/baobabdale/baobabemulator"
 )
 
-// TestLeavingUpstreamUsedAfterRestart guards against new calls to an upstream that says in its answers that it leaves,
-// while it goes on announcing itself as ready, and against its use by the restarted node beside it.
+// TestLeavingUpstreamUsedAfterRestart guards against new calls to an upstream that has said in an answer that it leaves.
 func TestLeavingUpstreamUsedAfterRestart(t *testing.T) {
 	t.Parallel()
 	m := startMesh(t, "booking")
--- a/baobabproof/requestlimit_test.go
+++ b/baobabproof/requestlimit_test.go
@@ -54,8 +54,7 @@
 	return most
 }
 
-// TestRequestLimitExceeded guards against an upstream that gets more requests, summed over all entries, than it states
-// that it takes.
+// TestRequestLimitExceeded guards against an upstream that gets more requests, from all entries, than it states that it takes.
 func TestRequestLimitExceeded(t *testing.T) {
 	t.Parallel()
 	const perSecond, applied = 20.0, 500 * time.Millisecond
@@ -87,8 +86,7 @@
 	checkHistories(t, m, caller.Records())
 }
 
-// TestRequestLimitForgottenAtRestart guards against a restarted node that fills all slots of its upstream because it does
-// not know yet that the upstream states a limit.
+// TestRequestLimitForgottenAtRestart guards against a restarted node that fills all slots of a limited upstream.
 func TestRequestLimitForgottenAtRestart(t *testing.T) {
 	t.Parallel()
 	const perSecond, applied = 2.0, 2 * time.Second
--- a/baobabproof/restore_test.go
+++ b/baobabproof/restore_test.go
@@ -8,8 +8,7 @@
 	"github.com/baobabdale/baobabdale/baobabemulator"
 )
 
-// TestAcceptAfterRestore guards against a version that is accepted after the platform was restored from an older copy and
-// is in force nowhere, because nodes have an earlier one with its number.
+// TestAcceptAfterRestore guards against an accepted version with the number of one that the restored platform lost.
 func TestAcceptAfterRestore(t *testing.T) {
 	m := startObservedMesh(t)
 	ctx := testContext(t)
@@ -34,8 +33,7 @@
 	m.checkAnswered(ctx, baobabemulator.RoutePathPrefix(route), nodes...)
 }
 
-// TestKeyRunsAgainAfterRestore guards against a second run of a keyed request whose claim the platform has lost, because it
-// was restored from an older copy.
+// TestKeyRunsAgainAfterRestore guards against a second run of a keyed request whose claim the restored platform lost.
 func TestKeyRunsAgainAfterRestore(t *testing.T) {
 	t.Parallel()
 	m := startMesh(t, "booking")
--- a/baobabupstream/registrynotice_test.go
+++ b/baobabupstream/registrynotice_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestLeavingNotice checks that an upstream that leaves takes no calls whatever it announces, also at a node that knows
-// it from an earlier process, and that a later process of the upstream does.
+// TestLeavingNotice guards against calls to an upstream that leaves, and against shutting out its next process.
 func TestLeavingNotice(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	now := start.Add(time.Minute)
