--- a/baobabcall/call.go
+++ b/baobabcall/call.go
@@ -18,6 +18,9 @@
 	rank           string    // Empty means that the route's rank applies.
 	idempotencyKey string
 	retried        bool
+	credential     Credential // Never forwarded and never logged.
+	account        string     // Client account; empty for none.
+	parentID       string     // Id of the call during which an upstream makes this one; empty for none.
 }
 
 // Option sets an optional property of a Call.
@@ -41,6 +44,22 @@
 // WithRetried marks a call that an earlier hop retries itself, so that this node does not retry it.
 func WithRetried() Option { return func(c *Call) { c.retried = true } }
 
+// WithCredential sets the credential that the caller presented.
+func WithCredential(k Credential) Option { return func(c *Call) { c.credential = k } }
+
+// WithAccount sets the client account that the call is charged to.
+func WithAccount(name string) Option { return func(c *Call) { c.account = name } }
+
+// ForAccount returns a copy that is charged to a client account.
+func (c *Call) ForAccount(name string) *Call {
+	copied := *c
+	copied.account = name
+	return &copied
+}
+
+// WithParentID sets the id of the call during which an upstream makes this one.
+func WithParentID(id string) Option { return func(c *Call) { c.parentID = id } }
+
 // NewCall returns a call. The id must be unique for each call. The target is the path with its query.
 func NewCall(id, caller, method, host, target string, options ...Option) *Call {
 	c := &Call{id: id, caller: caller, method: method, host: host, target: target, header: http.Header{}}
@@ -82,3 +101,12 @@
 
 // Retried reports whether an earlier hop retries the call.
 func (c *Call) Retried() bool { return c.retried }
+
+// Credential returns the credential that the caller presented; its zero value means none.
+func (c *Call) Credential() Credential { return c.credential }
+
+// Account returns the name of the client account, or an empty string.
+func (c *Call) Account() string { return c.account }
+
+// ParentID returns the id of the call during which an upstream made this one, or an empty string.
+func (c *Call) ParentID() string { return c.parentID }
--- /dev/null
+++ b/baobabcall/credential.go
@@ -0,0 +1,25 @@
+package baobabcall
+
+import "crypto/sha256"
+
+// A Credential is the key that a caller presented, as a digest, so that the key itself is neither kept nor logged. The
+// zero value means that the caller presented none.
+type Credential struct {
+	digest    [sha256.Size]byte
+	presented bool
+	valid     bool
+}
+
+// NewCredential returns the credential for a key.
+func NewCredential(key string) Credential {
+	return Credential{digest: sha256.Sum256([]byte(key)), presented: true, valid: true}
+}
+
+// InvalidCredential returns the credential of a caller that presented something that is not a key.
+func InvalidCredential() Credential { return Credential{presented: true} }
+
+// Presented reports whether the caller presented anything as a key.
+func (c Credential) Presented() bool { return c.presented }
+
+// Digest returns the SHA-256 digest of the key, and whether the caller presented a well-formed key.
+func (c Credential) Digest() ([sha256.Size]byte, bool) { return c.digest, c.valid }
--- a/baobabcall/headernames.go
+++ b/baobabcall/headernames.go
@@ -11,13 +11,16 @@
 
 // Header fields of requests and answers.
 const (
-	FieldCallID         HeaderField = iota // Id of the call.
+	FieldAccount        HeaderField = iota // Client account of the call, for upstreams.
+	FieldCallID                            // Id of the call.
 	FieldCaller                            // Identity of the caller.
 	FieldCallerService                     // Service of the VM through which the call entered the mesh.
+	FieldCredential                        // Key of a client account, as "Bearer KEY"; never forwarded.
 	FieldIdempotencyKey                    // Key that identifies repetitions of the same request.
 	FieldLeaving                           // Set to 1 by an upstream that is about to leave.
 	FieldNotStarted                        // Set by an upstream that did not start the call.
 	FieldOutcome                           // Whether an upstream ran the call, an Outcome.
+	FieldParentID                          // Id of the call during which an upstream makes this one.
 	FieldRank                              // Rank that the caller requests.
 	FieldRefusal                           // Reason for a refusal.
 	FieldRequestLimit                      // Requests per second that an upstream takes from all nodes together.
@@ -53,12 +56,15 @@
 // DefaultHeaderNames returns baobabdale's own names. All fields that start with "Baobab-" are internal.
 func DefaultHeaderNames() HeaderNames {
 	n := NewHeaderNames(map[HeaderField]string{
+		FieldAccount:        "Baobab-Account",
 		FieldCallID:         "Baobab-Call-Id",
 		FieldCaller:         "Baobab-Caller",
+		FieldCredential:     "Authorization",
 		FieldIdempotencyKey: "Idempotency-Key",
 		FieldLeaving:        "Baobab-Leaving",
 		FieldNotStarted:     "Baobab-Not-Started",
 		FieldOutcome:        "Baobab-Outcome",
+		FieldParentID:       "Baobab-Parent-Id",
 		FieldRank:           "Baobab-Rank",
 		FieldRefusal:        "Baobab-Refusal",
 		FieldRequestLimit:   "Baobab-Request-Limit",
--- a/baobabcall/refusal.go
+++ b/baobabcall/refusal.go
@@ -15,6 +15,7 @@
 	ReasonCallerShare         Reason = "caller_share"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
 	ReasonDeadlineUnmeetable  Reason = "deadline_unmeetable"
+	ReasonDependencyShort     Reason = "dependency_short" // A service that the upstream calls lacks room.
 	ReasonDraining            Reason = "draining"
 	ReasonInProgress          Reason = "in_progress"
 	ReasonKeyRequired         Reason = "key_required"
@@ -24,12 +25,15 @@
 	ReasonNoRoute             Reason = "no_route"
 	ReasonNoUpstream          Reason = "no_upstream"
 	ReasonNotReady            Reason = "not_ready"
+	ReasonOverLimit           Reason = "over_limit" // The account exceeds its limit.
 	ReasonOverSize            Reason = "over_size"
 	ReasonPeerUnreachable     Reason = "peer_unreachable"
+	ReasonProofExpired        Reason = "proof_expired" // The node cannot prove that the caller's key is still valid.
 	ReasonQuarantined         Reason = "quarantined"
 	ReasonQueueFull           Reason = "queue_full"
 	ReasonRetryBudget         Reason = "retry_budget"
 	ReasonStoreUnavailable    Reason = "store_unavailable"
+	ReasonUnauthorized        Reason = "unauthorized" // No known key.
 	ReasonUpstreamFailed      Reason = "upstream_failed"
 	ReasonUpstreamShed        Reason = "upstream_shed"
 	ReasonUpstreamUnavailable Reason = "upstream_unavailable"
@@ -38,10 +42,11 @@
 // Reasons returns all refusal reasons, sorted.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonAnswerLost, ReasonCallerShare, ReasonDeadlinePassed, ReasonDeadlineUnmeetable, ReasonDraining,
-		ReasonInProgress, ReasonKeyRequired, ReasonKeyReused, ReasonMalformed, ReasonNoFreeSlot, ReasonNoRoute, ReasonNoUpstream,
-		ReasonNotReady, ReasonOverSize, ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull,
-		ReasonRetryBudget, ReasonStoreUnavailable, ReasonUpstreamFailed, ReasonUpstreamShed,
+		ReasonAnswerLost, ReasonCallerShare, ReasonDeadlinePassed, ReasonDeadlineUnmeetable,
+		ReasonDependencyShort, ReasonDraining, ReasonInProgress, ReasonKeyRequired, ReasonKeyReused, ReasonMalformed,
+		ReasonNoFreeSlot, ReasonNoRoute, ReasonNoUpstream, ReasonNotReady, ReasonOverLimit, ReasonOverSize,
+		ReasonPeerUnreachable, ReasonProofExpired, ReasonQuarantined, ReasonQueueFull,
+		ReasonRetryBudget, ReasonStoreUnavailable, ReasonUnauthorized, ReasonUpstreamFailed, ReasonUpstreamShed,
 		ReasonUpstreamUnavailable,
 	}
 }
@@ -51,6 +56,8 @@
 	switch r {
 	case ReasonNoRoute:
 		return http.StatusNotFound
+	case ReasonUnauthorized:
+		return http.StatusUnauthorized
 	case ReasonMalformed, ReasonKeyRequired:
 		return http.StatusBadRequest
 	case ReasonKeyReused:
@@ -59,7 +66,7 @@
 		return http.StatusConflict
 	case ReasonOverSize:
 		return http.StatusRequestEntityTooLarge
-	case ReasonCallerShare, ReasonQueueFull:
+	case ReasonCallerShare, ReasonOverLimit, ReasonQueueFull:
 		return http.StatusTooManyRequests
 	case ReasonDeadlinePassed, ReasonDeadlineUnmeetable:
 		return http.StatusGatewayTimeout
@@ -77,8 +84,8 @@
 // temporary reports whether the same call may succeed after waiting, without any change to it.
 func (r Reason) temporary() bool {
 	switch r {
-	case ReasonCallerShare, ReasonDeadlineUnmeetable, ReasonDraining, ReasonInProgress, ReasonNoFreeSlot, ReasonNoUpstream, ReasonNotReady,
-		ReasonPeerUnreachable, ReasonQuarantined, ReasonQueueFull, ReasonRetryBudget, ReasonStoreUnavailable,
+	case ReasonCallerShare, ReasonDeadlineUnmeetable, ReasonDependencyShort, ReasonDraining, ReasonInProgress,
+		ReasonNoFreeSlot, ReasonNoUpstream, ReasonNotReady, ReasonOverLimit, ReasonPeerUnreachable, ReasonProofExpired, ReasonQuarantined, ReasonQueueFull, ReasonRetryBudget, ReasonStoreUnavailable,
 		ReasonUpstreamShed, ReasonUpstreamUnavailable:
 		return true
 	default:
--- /dev/null
+++ b/baobabdependency/doc.go
@@ -0,0 +1,3 @@
+// Package baobabdependency learns which services a kind of call needs while it runs, and decides how many such calls start
+// when those services lack room.
+package baobabdependency
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -43,6 +44,19 @@
 	idempotent bool
 	// freeSlotOnly makes the admitting node refuse the call at once unless a slot is free for it.
 	freeSlotOnly bool
+	// nested is set for a call that an upstream makes while it runs another one.
+	nested bool
+	// objective is when the latency target of the root call passes, on this node's clock; zero: none.
+	objective time.Time
+	// version is the version that the upstream must have; empty: any.
+	version string
+	// fairCaller is the caller to which admission charges a nested call; empty: the call's account or caller.
+	fairCaller string
+}
+
+// admissionCaller returns the caller among which admission shares a rank.
+func (r *admissionRequest) admissionCaller() string {
+	return cmp.Or(r.fairCaller, r.call.Account(), r.call.Caller())
 }
 
 // needsClaim reports whether the call must claim its idempotency key before it runs.
@@ -53,15 +67,17 @@
 // An Admitter admits calls to the upstream on this VM: it checks the quarantine, claims idempotency keys, queues calls
 // and sends them to the upstream.
 type Admitter struct {
-	board      *blackboard.Board
-	gate       *admission.Gate
-	registry   *upstream.Registry
-	ledger     *claim.Ledger
-	quarantine *quarantineController
-	now        func() time.Time
-	logger     *log.Logger
-	decisions  *decisionLog
-	shutdownAt atomic.Pointer[time.Time] // When the drain timeout ends; nil unless the node is shutting down.
+	board        *blackboard.Board
+	gate         *admission.Gate
+	registry     *upstream.Registry
+	ledger       *claim.Ledger
+	quarantine   *quarantineController
+	dependencies *dependencyController
+	rollouts     *rolloutController
+	now          func() time.Time
+	logger       *log.Logger
+	decisions    *decisionLog
+	shutdownAt   atomic.Pointer[time.Time] // When the drain timeout ends; nil unless the node is shutting down.
 
 	pendingRecords sync.WaitGroup // Answers that are being recorded.
 }
@@ -96,7 +112,10 @@
 	if u == nil || u.Service() != r.service || !u.AcceptsCalls() {
 		return call.NewRefusal(call.ReasonUpstreamUnavailable, call.OutcomeNotRun, "no upstream of the service is ready here")
 	}
-	return nil
+	if refusal := a.rollouts.check(now, r); refusal != nil {
+		return refusal
+	}
+	return a.dependencies.admitRoot(now, r)
 }
 
 // setShutdownTime sets the time at which a node that is shutting down exits. From then on, calls with a later deadline
@@ -143,7 +162,7 @@
 // execute queues the call and sends it to the upstream. A claim is released if the call certainly did not run. If the
 // upstream answered, the answer is recorded in the claim once it has been read.
 func (a *Admitter) execute(ctx context.Context, r *admissionRequest, granted *claim.Granted) (*call.Answer, *call.Refusal) {
-	request := admission.NewRequest(r.rank, r.call.Caller(), r.deadline, r.call.Method()+" "+firstPathSegment(r.call.Target()))
+	request := admission.NewRequest(r.rank, r.admissionCaller(), r.deadline, r.call.Method()+" "+firstPathSegment(r.call.Target()))
 	if r.freeSlotOnly {
 		request = request.WithFreeSlotOnly()
 	}
@@ -158,9 +177,13 @@
 		a.releaseClaim(granted)
 		return nil, call.NewRefusal(call.ReasonUpstreamUnavailable, call.OutcomeNotRun, "the upstream left while the call waited")
 	}
-	switch t := u.Client().Do(ctx, a.now(), r.call, r.deadline).(type) {
+	untrack := a.dependencies.track(a.now(), r)
+	result := u.Client().Do(ctx, a.now(), r.call, r.deadline)
+	untrack()
+	switch t := result.(type) {
 	case *upstream.Answered:
 		a.observeNotice(u, t.Notice())
+		a.rollouts.observe(a.now(), r, t.Answer().Status() < http.StatusInternalServerError, a.now().Sub(permit.GrantedAt()))
 		return a.handleAnswer(ctx, r, permit, granted, u, t)
 	case upstream.Refused:
 		if n, ok := t.Notice(); ok {
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -30,6 +30,10 @@
 	endpointStats  *route.EndpointStats
 	budgets        *blackboard.ShardedMap[budgetKey, *route.Budget]
 	admitter       *Admitter
+	accounts       *accountController
+	limits         *limitController
+	dependencies   *dependencyController
+	rollouts       *rolloutController
 	peerClient     *peerClient
 	members        *memberTable
 	self           string
@@ -73,7 +77,18 @@
 			"host", c.Host(), "target", c.Target(), "version", g.board.ActiveVersion().Number())
 		return nil, refusal
 	}
-	return g.serve(ctx, r)
+	account := r.request.call.Account()
+	if refusal := g.limits.admit(now, account); refusal != nil {
+		return nil, g.logRefusal(r, refusal, "", 0, route.StopUseless)
+	}
+	answer, refusal := g.serve(ctx, r)
+	if refusal != nil && refusal.Outcome() == call.OutcomeNotRun {
+		g.limits.refund(g.now(), account)
+	}
+	if r.request.nested {
+		g.dependencies.observeNested(g.now(), r.request, answer, refusal, g.now().Sub(now))
+	}
+	return answer, refusal
 }
 
 // MayRepeat reports whether a call may run more than once by the configuration in force, so that it may be served before
@@ -104,30 +119,61 @@
 	if !idempotent && rt.RequireIdempotencyKey() && c.IdempotencyKey() == "" {
 		return nil, call.NewRefusal(call.ReasonKeyRequired, call.OutcomeNotRun, "route "+rt.Name()+" requires an Idempotency-Key")
 	}
+	id, refusal := g.accounts.identify(now, active, rt, c)
+	if refusal != nil {
+		return nil, refusal
+	}
 	service := rt.PickService(rand.Float64())
 	candidates := g.board.Endpoints(service)
 	if candidates == nil {
 		return nil, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "service "+service+" has no upstream").WithRetryAfter(time.Second)
 	}
-	rankName := effectiveRank(c, rt, policy)
-	rank, _ := policy.Rank(rankName)
+	request := &admissionRequest{call: c, service: service, deadline: g.deadline(now, c, rt), idempotent: idempotent}
+	request.rank = effectiveRank(c, rt, policy)
+	if id.account != "" {
+		request.call = c.ForAccount(id.account)
+	}
+	if id.rank != "" {
+		request.rank = id.rank
+	}
+	rank, _ := policy.Rank(request.rank)
+	if rank.LatencyTarget() > 0 {
+		request.objective = now.Add(rank.LatencyTarget())
+	}
+	if root, ok := g.dependencies.root(now, c); ok {
+		request.inherit(root, policy)
+	}
 	return &routedCall{
 		latencyTarget: rank.LatencyTarget(),
-		request: &admissionRequest{
-			call: c, service: service, rank: rankName, deadline: g.deadline(now, c, rt), idempotent: idempotent,
-		},
-		candidates:  candidates,
-		budget:      g.budget(service, policy.RetryBudgetPercent()),
-		maxAttempts: policy.MaxAttempts(),
+		request:       request,
+		candidates:    candidates,
+		budget:        g.budget(service, policy.RetryBudgetPercent()),
+		maxAttempts:   policy.MaxAttempts(),
 	}, nil
 }
 
+// inherit gives a nested call the more urgent of its own and its root's rank, the root's account, and at most the root's
+// deadline and objective.
+func (r *admissionRequest) inherit(root rootCall, policy configuration.Policy) {
+	r.nested = true
+	own, _ := policy.Rank(r.rank)
+	if rank, ok := policy.Rank(root.rank); ok && rank.Priority() < own.Priority() {
+		r.rank = rank.Name()
+	}
+	r.fairCaller = root.account
+	r.deadline = earlierOf(r.deadline, root.deadline)
+	if !root.objective.IsZero() && (r.objective.IsZero() || root.objective.Before(r.objective)) {
+		r.objective = root.objective
+	}
+}
+
 // serve tries endpoints until one answers, or until a retry is unsafe or not worthwhile.
 func (g *Ingress) serve(ctx context.Context, r *routedCall) (*call.Answer, *call.Refusal) {
 	random := g.getRandom()
 	defer g.randomPool.Put(random)
 	r.budget.RecordCall(g.now())
 	start := g.now()
+	r.candidates, r.request.version = g.rollouts.candidates(start, random, r.candidates)
 	plan := g.chooser.NewOfferPlan(random, r.candidates)
 	var lastRefusal *call.Refusal
 	upstreamAttempts := 0 // Attempts that may have reached an upstream.
--- a/baobabnode/membershipcontroller.go
+++ b/baobabnode/membershipcontroller.go
@@ -47,6 +47,7 @@
 	members          *memberTable
 	broadcaster      *broadcaster
 	quarantine       *quarantineController
+	rollouts         *rolloutController
 	configuration    *configurationController
 	transport        *peer.Transport
 	seeds            *seedRegistry
@@ -347,7 +348,7 @@
 	defer cancel()
 	reply, err := c.transport.Request(ctx, address, &wire.Envelope{Body: &wire.Envelope_Exchange{Exchange: &wire.Exchange{
 		From: c.members.self, Version: toWireVersion(c.board.ActiveVersion()), Digests: c.members.digest().Wire(),
-		QuarantineDigest: c.quarantine.digest(),
+		QuarantineDigest: c.quarantine.digest(), RolloutDigest: c.rollouts.digest(),
 	}}})
 	if err != nil {
 		return errors.Wrap(err, "exchange")
@@ -355,6 +356,7 @@
 	m := reply.GetExchangeReply()
 	c.configuration.observeVersion(m.GetVersion(), address, crossDomain)
 	c.quarantine.receiveUpdate(m.GetQuarantine())
+	c.rollouts.receiveUpdate(c.now(), m.GetRollouts())
 	if len(m.GetDiffering()) == 0 {
 		return nil
 	}
@@ -400,6 +402,9 @@
 	reply := &wire.ExchangeReply{
 		Version: toWireVersion(c.board.ActiveVersion()), Quarantine: c.quarantine.updateFor(m.GetQuarantineDigest()),
 	}
+	if m.GetRolloutDigest() != c.rollouts.digest() {
+		reply.Rollouts = c.rollouts.records(c.now())
+	}
 	reply.Differing = c.members.digest().Differing(membership.DigestFromWire(m.GetDigests()))
 	if len(reply.GetDiffering()) > 0 {
 		reply.Records = membership.MembersToWire(c.now(), c.members.records(reply.GetDiffering()))
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -66,6 +66,10 @@
 	membership    *membershipController
 	upstream      *upstreamController
 	quarantine    *quarantineController
+	accounts      *accountController
+	limits        *limitController
+	dependencies  *dependencyController
+	rollouts      *rolloutController
 	seeds         *seedRegistry
 	bootstrapper  *bootstrapper
 	peerHandler   *peerHandler
@@ -177,6 +181,8 @@
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
+	n.accounts, n.limits, n.dependencies = &accountController{}, &limitController{}, &dependencyController{}
+	n.rollouts = &rolloutController{}
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
 	if source == nil {
@@ -190,7 +196,7 @@
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
 	n.membership = &membershipController{
 		board: n.board, members: n.members, broadcaster: broadcaster, configuration: n.configuration, transport: n.transport,
-		quarantine: n.quarantine, seeds: n.seeds, registry: n.registry, firstIncarnation: self.Incarnation(), now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
+		quarantine: n.quarantine, rollouts: n.rollouts, seeds: n.seeds, registry: n.registry, firstIncarnation: self.Incarnation(), now: n.now, logger: n.logger, probeInterval: s.Membership().ProbeInterval(),
 		peerFound: make(chan struct{}), probeTimeout: s.Membership().ProbeTimeout(),
 		exchangeInterval: s.Membership().ExchangeInterval(),
 	}
@@ -200,7 +206,7 @@
 	}
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, registry: n.registry, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
-		decisions: n.decisionLog,
+		decisions: n.decisionLog, dependencies: n.dependencies, rollouts: n.rollouts,
 	}
 	n.bootstrapper = newBootstrapper()
 	n.bootstrapper.members, n.bootstrapper.membership, n.bootstrapper.configuration = n.members, n.membership, n.configuration
@@ -216,7 +222,7 @@
 	}
 	n.peerHandler = &peerHandler{
 		admitter: n.admitter, configuration: n.configuration, membership: n.membership, broadcaster: n.membership.broadcaster,
-		quarantine: n.quarantine, status: status, maxBodyBytes: s.Limits().MaxBodySize().Bytes(),
+		quarantine: n.quarantine, accounts: n.accounts, limits: n.limits, rollouts: n.rollouts, status: status, maxBodyBytes: s.Limits().MaxBodySize().Bytes(),
 		bodyMemory: call.NewBodyMemory(s.Limits().BodyMemory().Bytes()), now: n.now, logger: n.logger,
 	}
 	ingress := &Ingress{
@@ -225,7 +231,7 @@
 		budgets:       blackboard.NewShardedMap[budgetKey, *route.Budget](), admitter: n.admitter,
 		peerClient: &peerClient{transport: n.transport, now: n.now}, members: n.members, self: n.members.self, ready: n.bootstrapper,
 		retryCounters: counters, defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
-		decisions: n.decisionLog,
+		decisions: n.decisionLog, accounts: n.accounts, limits: n.limits, dependencies: n.dependencies, rollouts: n.rollouts,
 	}
 	handler := caller.NewHandler(ingress, append([]caller.Option{
 		caller.WithMaxBodyBytes(s.Limits().MaxBodySize().Bytes()),
@@ -303,7 +309,7 @@
 		n.serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
 	}
 	for _, run := range []func(context.Context) error{
-		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.seeds.run, n.quarantine.run,
+		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.seeds.run, n.quarantine.run, n.accounts.run, n.limits.run, n.rollouts.run,
 		n.syncAdmissionPolicy, n.sweepEndpointStats,
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -28,6 +28,9 @@
 	membership    *membershipController
 	broadcaster   *broadcaster
 	quarantine    *quarantineController
+	accounts      *accountController
+	limits        *limitController
+	rollouts      *rolloutController
 	status        *statusController
 	maxBodyBytes  int64
 	bodyMemory    *call.BodyMemory // Memory for the bodies of all calls in progress.
@@ -78,6 +81,13 @@
 		return &wire.Envelope{Body: &wire.Envelope_JoinReply{JoinReply: reply}}, err
 	case *wire.Envelope_StatusRequest:
 		return &wire.Envelope{Body: &wire.Envelope_StatusReply{StatusReply: h.status.answer(ctx, t.StatusRequest)}}, nil
+	case *wire.Envelope_ProofRequest:
+		return &wire.Envelope{Body: &wire.Envelope_Proof{Proof: h.accounts.answerProof(h.now(), t.ProofRequest)}}, nil
+	case *wire.Envelope_UsageReport:
+		return &wire.Envelope{Body: &wire.Envelope_UsageReply{UsageReply: h.limits.answerUsage(h.now(), t.UsageReport)}}, nil
+	case *wire.Envelope_RolloutEvidence:
+		ack := h.rollouts.answerEvidence(h.now(), t.RolloutEvidence)
+		return &wire.Envelope{Body: &wire.Envelope_RolloutEvidenceAck{RolloutEvidenceAck: ack}}, nil
 	default:
 		return &wire.Envelope{Body: &wire.Envelope_Error{Error: &wire.Error{Kind: "unsupported", Text: "unsupported message"}}}, nil
 	}
@@ -97,6 +107,8 @@
 		h.membership.merge(t.Members.GetRecords())
 	case *wire.Broadcast_Quarantine:
 		h.quarantine.receiveUpdate(t.Quarantine)
+	case *wire.Broadcast_Rollouts:
+		h.rollouts.receiveUpdate(h.now(), t.Rollouts)
 	}
 }
 
--- a/baobabnode/wirecall.go
+++ b/baobabnode/wirecall.go
@@ -45,7 +45,7 @@
 // clocks need not agree.
 func toWireCall(now time.Time, r *admissionRequest, attempt int) *wire.Call {
 	c := r.call
-	return &wire.Call{
+	m := &wire.Call{
 		Id:             c.ID(),
 		Caller:         c.Caller(),
 		Service:        r.service,
@@ -61,7 +61,14 @@
 		BodySize:       int64(len(c.Body())),
 		Retried:        c.Retried(),
 		FreeSlotOnly:   r.freeSlotOnly,
+		Account:        c.Account(),
+		Nested:         r.nested,
+		Version:        r.version,
 	}
+	if !r.objective.IsZero() {
+		m.HasTarget, m.TargetRemainingUs = true, r.objective.Sub(now).Microseconds()
+	}
+	return m
 }
 
 // receiveCall reads the body that follows a call message and returns the request. It returns an error if the body
@@ -89,18 +96,25 @@
 	}
 	options := []call.Option{
 		call.WithBody(body), call.WithHeader(fromWireHeader(m.GetHeader())), call.WithIdempotencyKey(m.GetIdempotencyKey()),
+		call.WithAccount(m.GetAccount()),
 	}
 	if m.GetRetried() {
 		options = append(options, call.WithRetried())
 	}
-	return &admissionRequest{
+	r := &admissionRequest{
 		call:         call.NewCall(m.GetId(), m.GetCaller(), m.GetMethod(), m.GetHost(), m.GetTarget(), options...),
 		service:      m.GetService(),
 		rank:         m.GetRank(),
 		deadline:     now.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond),
 		idempotent:   m.GetIdempotent(),
 		freeSlotOnly: m.GetFreeSlotOnly(),
-	}, nil
+		nested:       m.GetNested(),
+		version:      m.GetVersion(),
+	}
+	if m.GetHasTarget() {
+		r.objective = now.Add(time.Duration(m.GetTargetRemainingUs()) * time.Microsecond)
+	}
+	return r, nil
 }
 
 // toWireAnswer converts the head of an answer, or a refusal, to a message.
