--- a/baobabblackboard/activeconfiguration.go
+++ b/baobabblackboard/activeconfiguration.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 )
 
@@ -10,12 +11,13 @@
 type ActiveConfiguration struct {
 	snapshot    *configuration.Snapshot
 	view        *configuration.View // Built from the snapshot for this node's labels.
+	accounts    *account.Directory
 	activeSince time.Time
 }
 
 // NewActiveConfiguration returns the configuration that is in force at this node since a time.
 func NewActiveConfiguration(s *configuration.Snapshot, v *configuration.View, since time.Time) *ActiveConfiguration {
-	return &ActiveConfiguration{snapshot: s, view: v, activeSince: since}
+	return &ActiveConfiguration{snapshot: s, view: v, accounts: account.NewDirectory(v.Accounts()), activeSince: since}
 }
 
 // Snapshot returns the snapshot of the whole version.
@@ -24,6 +26,9 @@
 // View returns the part of the snapshot that the selectors assign to this node.
 func (c *ActiveConfiguration) View() *configuration.View { return c.view }
 
+// Accounts returns the client accounts of the view.
+func (c *ActiveConfiguration) Accounts() *account.Directory { return c.accounts }
+
 // ActiveSince returns when the version came into force at this node.
 func (c *ActiveConfiguration) ActiveSince() time.Time { return c.activeSince }
 
--- a/baobabcall/call.go
+++ b/baobabcall/call.go
@@ -1,6 +1,7 @@
 package baobabcall
 
 import (
+	"maps"
 	"net/http"
 	"time"
 )
@@ -19,6 +20,7 @@
 	idempotencyKey string
 	retried        bool
 	credential     Credential // Never forwarded and never logged.
+	keyField       string     // Name of the header field that holds the key; dropped when the call gets an account.
 	account        string     // Client account; empty for none.
 	parentID       string     // Id of the call during which an upstream makes this one; empty for none.
 }
@@ -44,16 +46,22 @@
 // WithRetried marks a call that an earlier hop retries itself, so that this node does not retry it.
 func WithRetried() Option { return func(c *Call) { c.retried = true } }
 
-// WithCredential sets the credential that the caller presented.
-func WithCredential(k Credential) Option { return func(c *Call) { c.credential = k } }
+// WithCredential sets the credential that the caller presented in the named header field.
+func WithCredential(k Credential, field string) Option {
+	return func(c *Call) { c.credential, c.keyField = k, field }
+}
 
 // WithAccount sets the client account that the call is charged to.
 func WithAccount(name string) Option { return func(c *Call) { c.account = name } }
 
-// ForAccount returns a copy that is charged to a client account.
+// ForAccount returns a copy that is charged to a client account and does not hold the key.
 func (c *Call) ForAccount(name string) *Call {
 	copied := *c
-	copied.account = name
+	copied.account, copied.credential = name, Credential{}
+	if _, ok := c.header[c.keyField]; ok {
+		copied.header = maps.Clone(c.header)
+		delete(copied.header, c.keyField)
+	}
 	return &copied
 }
 
--- a/baobabcall/credential.go
+++ b/baobabcall/credential.go
@@ -1,6 +1,13 @@
 package baobabcall
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"net/http"
+	"strings"
+)
+
+// maxKeyBytes is the maximum size of a key.
+const maxKeyBytes = 256
 
 // A Credential is the key that a caller presented, as a digest, so that the key itself is neither kept nor logged. The
 // zero value means that the caller presented none.
@@ -18,6 +25,24 @@
 // InvalidCredential returns the credential of a caller that presented something that is not a key.
 func InvalidCredential() Credential { return Credential{presented: true} }
 
+// ReadCredential returns the credential in a header field, which must have one value "Bearer KEY" with a key of at most 256
+// bytes. Other values give an invalid credential, and a missing field or an empty name the zero value.
+func ReadCredential(header http.Header, field string) Credential {
+	values := header[field]
+	if field == "" || len(values) == 0 {
+		return Credential{}
+	}
+	const scheme = "Bearer "
+	if len(values) > 1 || len(values[0]) < len(scheme) || !strings.EqualFold(values[0][:len(scheme)], scheme) {
+		return InvalidCredential()
+	}
+	key := strings.TrimLeft(values[0][len(scheme):], " ")
+	if key == "" || len(key) > maxKeyBytes {
+		return InvalidCredential()
+	}
+	return NewCredential(key)
+}
+
 // Presented reports whether the caller presented anything as a key.
 func (c Credential) Presented() bool { return c.presented }
 
--- a/baobabcaller/request.go
+++ b/baobabcaller/request.go
@@ -43,7 +43,8 @@
 	}
 	header := h.forwardableHeader(r.Header, h.headerNames.Name(call.FieldIdempotencyKey), "Content-Length", "Expect")
 	h.setField(header, call.FieldCallerService, h.callerService)
-	options = append(options, call.WithBody(body), call.WithHeader(header))
+	field := h.headerNames.Name(call.FieldCredential)
+	options = append(options, call.WithBody(body), call.WithHeader(header), call.WithCredential(call.ReadCredential(r.Header, field), field))
 	return call.NewCall(id, caller, r.Method, r.Host, requestTarget(r), options...), nil
 }
 
--- a/baobabconfiguration/configuration_test.go
+++ b/baobabconfiguration/configuration_test.go
@@ -115,6 +115,9 @@
 	for _, s := range v.Services() {
 		fmt.Fprintln(&b, "service", s.Name())
 	}
+	for _, a := range v.Accounts() {
+		fmt.Fprintln(&b, "account", a.Name())
+	}
 	if b.Len() == 0 {
 		return "none"
 	}
--- a/baobabconfiguration/document.go
+++ b/baobabconfiguration/document.go
@@ -80,6 +80,9 @@
 // Route returns the route, and whether it exists.
 func (d *Document) Route(name string) (Route, bool) { return findResource[Route](d, KindRoute, name) }
 
+// Accounts returns all accounts, sorted by name.
+func (d *Document) Accounts() []Account { return resourcesOfKind[Account](d, KindAccount) }
+
 // UpstreamLabels returns the labels of the upstream with the id, and whether it has any.
 func (d *Document) UpstreamLabels(id string) (UpstreamLabels, bool) {
 	return findResource[UpstreamLabels](d, KindUpstreamLabels, id)
--- a/baobabconfiguration/kind.go
+++ b/baobabconfiguration/kind.go
@@ -11,6 +11,7 @@
 
 // Kinds of resources, sorted.
 const (
+	KindAccount        Kind = "account"
 	KindPolicy         Kind = "policy"
 	KindRoute          Kind = "route"
 	KindSelector       Kind = "selector"
@@ -20,7 +21,7 @@
 
 // Kinds returns all kinds, sorted.
 func Kinds() []Kind {
-	return []Kind{KindPolicy, KindRoute, KindSelector, KindService, KindUpstreamLabels}
+	return []Kind{KindAccount, KindPolicy, KindRoute, KindSelector, KindService, KindUpstreamLabels}
 }
 
 // ParseKind returns the kind with the name, or an error if there is none.
--- a/baobabconfiguration/route.go
+++ b/baobabconfiguration/route.go
@@ -1,6 +1,7 @@
 package baobabconfiguration
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -24,6 +25,8 @@
 	idempotent            bool
 	unsafe                bool // No request may run more than once, whatever its method; excludes idempotent.
 	requireIdempotencyKey bool
+	allowAnonymous        bool          // Calls without a key are served while there are accounts.
+	accountRanks          []AccountRank // Sorted by priority.
 }
 
 type routeJSON struct {
@@ -38,11 +41,25 @@
 	RequireIdempotencyKey bool                  `json:"require_idempotency_key"`
 	Split                 []weightedServiceJSON `json:"split,omitempty"`
 	Unsafe                bool                  `json:"unsafe,omitempty"`
+	AllowAnonymous        bool                  `json:"allow_anonymous,omitempty"`
+	AccountRanks          []accountRankJSON     `json:"account_ranks,omitempty"`
 }
 
 // RouteOption sets an optional property of a route.
 type RouteOption func(*routeJSON)
 
+// WithRouteAccountRanks sets the ranks of calls of accounts, by the priority of the account.
+func WithRouteAccountRanks(ranks map[int]string) RouteOption {
+	return func(j *routeJSON) {
+		for priority, rank := range ranks {
+			j.AccountRanks = append(j.AccountRanks, accountRankJSON{Priority: priority, Rank: rank})
+		}
+	}
+}
+
+// WithRouteAllowAnonymous declares that calls without a key are served.
+func WithRouteAllowAnonymous() RouteOption { return func(j *routeJSON) { j.AllowAnonymous = true } }
+
 // WithRouteIdempotent declares that a request may run more than once, whatever its method.
 func WithRouteIdempotent() RouteOption { return func(j *routeJSON) { j.Idempotent = true } }
 
@@ -101,6 +118,7 @@
 func newRoute(name string, j routeJSON) (Route, error) {
 	slices.Sort(j.Methods)
 	slices.SortStableFunc(j.Split, func(a, b weightedServiceJSON) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortStableFunc(j.AccountRanks, func(a, b accountRankJSON) int { return cmp.Compare(a.Priority, b.Priority) })
 	if j.Service == "" && len(j.Split) > 0 {
 		j.Service = j.Split[0].Service
 	}
@@ -115,10 +133,14 @@
 		idempotent:            j.Idempotent,
 		unsafe:                j.Unsafe,
 		requireIdempotencyKey: j.RequireIdempotencyKey,
+		allowAnonymous:        j.AllowAnonymous,
 	}
 	for _, s := range j.Split {
 		r.split = append(r.split, WeightedService{service: s.Service, weight: s.Weight})
 	}
+	for _, a := range j.AccountRanks {
+		r.accountRanks = append(r.accountRanks, AccountRank{priority: a.Priority, rank: a.Rank})
+	}
 	var err error
 	r.baseResource, err = newBaseResource(name, j)
 	return r, err
@@ -197,6 +219,22 @@
 // RequireIdempotencyKey reports whether non-idempotent requests without an idempotency key are refused.
 func (r Route) RequireIdempotencyKey() bool { return r.requireIdempotencyKey }
 
+// AllowsAnonymous reports whether calls without a key are served while the configuration has accounts.
+func (r Route) AllowsAnonymous() bool { return r.allowAnonymous }
+
+// AccountRanks returns the ranks of calls of accounts, sorted by priority; they must not be modified.
+func (r Route) AccountRanks() []AccountRank { return r.accountRanks }
+
+// AccountRank returns the rank of calls of accounts with the priority, or an empty string if they get the route's rank.
+func (r Route) AccountRank(priority int) string {
+	for _, a := range r.accountRanks {
+		if a.priority == priority {
+			return a.rank
+		}
+	}
+	return ""
+}
+
 // allowsMethod reports whether the route matches requests with the method.
 func (r Route) allowsMethod(method string) bool {
 	return len(r.methods) == 0 || slices.Contains(r.methods, method)
--- a/baobabconfiguration/validate.go
+++ b/baobabconfiguration/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"path"
 	"regexp"
 	"slices"
@@ -26,10 +27,12 @@
 // Validate returns all problems of the document, sorted by the kind and name of the resource, or none if it is valid. No
 // other check decides whether a document is valid.
 func Validate(d *Document) []Problem {
-	v := &validator{document: d}
+	v := &validator{document: d, keyOwners: map[KeyDigest]string{}}
 	for _, r := range d.resources {
 		v.kind, v.name = r.Kind(), r.Name()
 		switch r := r.(type) {
+		case Account:
+			v.checkAccount(r)
 		case Policy:
 			v.checkPolicy(r)
 		case Route:
@@ -51,10 +54,11 @@
 
 // validator collects the problems of a document.
 type validator struct {
-	document *Document
-	kind     Kind   // Of the resource being checked.
-	name     string // Of the resource being checked.
-	problems []Problem
+	document  *Document
+	kind      Kind                 // Of the resource being checked.
+	name      string               // Of the resource being checked.
+	keyOwners map[KeyDigest]string // Names of the accounts checked so far, by the digests of their keys.
+	problems  []Problem
 }
 
 func (v *validator) addProblem(format string, arguments ...any) {
@@ -73,6 +77,32 @@
 	}
 }
 
+func (v *validator) checkAccount(a Account) {
+	for _, text := range a.malformed {
+		// The text could be a key by mistake, so it is not shown.
+		v.addProblem("key_digests has a value of %d characters, want 64 hexadecimal digits", len(text))
+	}
+	for _, d := range a.keyDigests {
+		if owner, ok := v.keyOwners[d]; ok {
+			v.addProblem("key_digests has %s, which is already a key of account %s", d, owner)
+		}
+		v.keyOwners[d] = a.name
+	}
+	if a.priority < 0 {
+		v.addProblem("priority is %d, want 0 or more", a.priority)
+	}
+	v.checkLimit("rate", a.rate)
+	v.checkLimit("burst", a.burst)
+	v.checkRange("weight", a.weight, 1, maxWeight)
+	v.checkLabels(a.labels)
+}
+
+func (v *validator) checkLimit(field string, value float64) {
+	if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+		v.addProblem("%s is %g, want a finite number of 0 or more", field, value)
+	}
+}
+
 func (v *validator) checkPolicy(p Policy) {
 	v.checkRange("number of ranks", len(p.ranks), 1, maxRanksPerPolicy)
 	names := map[string]bool{}
@@ -146,6 +176,17 @@
 	if _, ok := p.Rank(r.rank); !ok {
 		v.addProblem("rank %q does not exist in policy %s", r.rank, p.Name())
 	}
+	for i, a := range r.accountRanks {
+		if _, ok := p.Rank(a.rank); !ok {
+			v.addProblem("rank %q of account_ranks does not exist in policy %s", a.rank, p.Name())
+		}
+		if a.priority < 0 {
+			v.addProblem("priority %d of account_ranks is negative", a.priority)
+		}
+		if i > 0 && r.accountRanks[i-1].priority == a.priority {
+			v.addProblem("priority %d occurs twice in account_ranks", a.priority)
+		}
+	}
 }
 
 func (v *validator) checkSplit(split []WeightedService) {
--- a/baobabconfiguration/view.go
+++ b/baobabconfiguration/view.go
@@ -9,13 +9,14 @@
 )
 
 // A View is the part of a snapshot that a single proxy receives. It is immutable and self-contained: it includes every
-// service, policy and rank that its routes refer to.
+// service, policy and rank that its routes refer to, and all accounts.
 type View struct {
 	version  Version
 	labels   Labels
 	routes   []Route   // Sorted by name.
 	policies []Policy  // Sorted by name; those of the routes and those of the selectors.
 	services []Service // Sorted by name.
+	accounts []Account // Sorted by name; all of the snapshot.
 	index    *routeIndex
 }
 
@@ -28,7 +29,7 @@
 		policies:   map[string]Policy{},
 		services:   map[string]Service{},
 	}
-	v := &View{version: s.version, labels: proxy}
+	v := &View{version: s.version, labels: proxy, accounts: s.document.Accounts()}
 	for _, selector := range s.document.Selectors() {
 		if !proxy.Contains(selector.match) {
 			continue
@@ -71,6 +72,9 @@
 // Services returns the services, sorted by name; they must not be modified.
 func (v *View) Services() []Service { return v.services }
 
+// Accounts returns the accounts, sorted by name; they must not be modified.
+func (v *View) Accounts() []Account { return v.accounts }
+
 // Match returns the route of a request and its policy, and whether there is one. A route for the exact host takes
 // precedence over one for every host, then the longest path prefix wins, then a route that lists the method takes
 // precedence over one for every method. Routes that do not allow the method are skipped. The host may include a port.
@@ -156,6 +160,11 @@
 	if _, ok := p.Rank(r.rank); !ok {
 		return routeEntry{}, errors.Errorf("rank %q does not exist in policy %s", r.rank, p.name)
 	}
+	for _, a := range r.accountRanks {
+		if _, ok := p.Rank(a.rank); !ok {
+			return routeEntry{}, errors.Errorf("rank %q does not exist in policy %s", a.rank, p.name)
+		}
+	}
 	return routeEntry{route: r, policy: p}, nil
 }
 
--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -22,9 +22,23 @@
 // run obtains proofs until ctx ends.
 func (a *accountController) run(context.Context) error { return nil }
 
-// identify returns the account of a call, or a refusal with OutcomeNotRun.
-func (a *accountController) identify(time.Time, *blackboard.ActiveConfiguration, configuration.Route, *call.Call) (identity, *call.Refusal) {
-	return identity{}, nil
+// identify returns the account of a call, or a refusal with OutcomeNotRun. Without accounts in the configuration in force
+// every call is anonymous. Refusals do not distinguish a missing key from an unknown one.
+func (a *accountController) identify(_ time.Time, active *blackboard.ActiveConfiguration, r configuration.Route,
+	c *call.Call) (identity, *call.Refusal) {
+	directory := active.Accounts()
+	if directory.Empty() {
+		return identity{}, nil
+	}
+	k := c.Credential()
+	if !k.Presented() && r.AllowsAnonymous() {
+		return identity{}, nil
+	}
+	account := directory.Find(k)
+	if account == nil {
+		return identity{}, call.NewRefusal(call.ReasonUnauthorized, call.OutcomeNotRun, "the request has no known key")
+	}
+	return identity{account: account.Name(), rank: r.AccountRank(account.Priority())}, nil
 }
 
 // answerProof returns the newest proof that this node holds.
--- a/baobaboperator/kind.go
+++ b/baobaboperator/kind.go
@@ -7,6 +7,7 @@
 
 // Kinds of resources.
 const (
+	KindAccount        Kind = "account"
 	KindPolicy         Kind = "policy"
 	KindRoute          Kind = "route"
 	KindSelector       Kind = "selector"
@@ -16,7 +17,7 @@
 
 // Kinds returns all kinds in dependency order: resources refer only to resources of earlier kinds.
 func Kinds() []Kind {
-	return []Kind{KindService, KindUpstreamLabels, KindPolicy, KindRoute, KindSelector}
+	return []Kind{KindService, KindUpstreamLabels, KindAccount, KindPolicy, KindRoute, KindSelector}
 }
 
 // Valid reports whether the kind exists.
--- a/baobabupstream/client.go
+++ b/baobabupstream/client.go
@@ -272,6 +272,7 @@
 	// Rounded up, because zero would mean that no time remains.
 	c.setField(h, call.FieldTimeout, strconv.FormatInt(int64((remaining+time.Millisecond-1)/time.Millisecond), 10))
 	c.setField(h, call.FieldRank, k.Rank())
+	c.setField(h, call.FieldAccount, k.Account())
 	c.setField(h, call.FieldIdempotencyKey, k.IdempotencyKey())
 	c.setField(h, call.FieldUpstreamID, c.upstreamID)
 	retried := ""
