--- a/baobabconfiguration/route.go
+++ b/baobabconfiguration/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -25,8 +26,14 @@
 	idempotent            bool
 	unsafe                bool // No request may run more than once, whatever its method; excludes idempotent.
 	requireIdempotencyKey bool
-	allowAnonymous        bool          // Calls without a key are served while there are accounts.
-	accountRanks          []AccountRank // Sorted by priority.
+	allowAnonymous        bool              // Calls without a key are served while there are accounts.
+	accountRanks          []accountRankJSON // Sorted by priority.
+}
+
+// accountRankJSON names the rank that a route gives to calls of accounts with a priority.
+type accountRankJSON struct {
+	Priority int    `json:"priority"`
+	Rank     string `json:"rank"`
 }
 
 type routeJSON struct {
@@ -50,11 +57,11 @@
 
 // WithRouteAccountRanks sets the ranks of calls of accounts, by the priority of the account.
 func WithRouteAccountRanks(ranks map[int]string) RouteOption {
-	return func(j *routeJSON) {
-		for priority, rank := range ranks {
-			j.AccountRanks = append(j.AccountRanks, accountRankJSON{Priority: priority, Rank: rank})
-		}
+	list := make([]accountRankJSON, 0, len(ranks))
+	for _, priority := range slices.Sorted(maps.Keys(ranks)) {
+		list = append(list, accountRankJSON{Priority: priority, Rank: ranks[priority]})
 	}
+	return func(j *routeJSON) { j.AccountRanks = list } // Shared by all routes with the option.
 }
 
 // WithRouteAllowAnonymous declares that calls without a key are served.
@@ -134,13 +141,11 @@
 		unsafe:                j.Unsafe,
 		requireIdempotencyKey: j.RequireIdempotencyKey,
 		allowAnonymous:        j.AllowAnonymous,
+		accountRanks:          j.AccountRanks,
 	}
 	for _, s := range j.Split {
 		r.split = append(r.split, WeightedService{service: s.Service, weight: s.Weight})
 	}
-	for _, a := range j.AccountRanks {
-		r.accountRanks = append(r.accountRanks, AccountRank{priority: a.Priority, rank: a.Rank})
-	}
 	var err error
 	r.baseResource, err = newBaseResource(name, j)
 	return r, err
@@ -222,14 +227,11 @@
 // AllowsAnonymous reports whether calls without a key are served while the configuration has accounts.
 func (r Route) AllowsAnonymous() bool { return r.allowAnonymous }
 
-// AccountRanks returns the ranks of calls of accounts, sorted by priority; they must not be modified.
-func (r Route) AccountRanks() []AccountRank { return r.accountRanks }
-
 // AccountRank returns the rank of calls of accounts with the priority, or an empty string if they get the route's rank.
 func (r Route) AccountRank(priority int) string {
 	for _, a := range r.accountRanks {
-		if a.priority == priority {
-			return a.rank
+		if a.Priority == priority {
+			return a.Rank
 		}
 	}
 	return ""
--- a/baobabconfiguration/validate.go
+++ b/baobabconfiguration/validate.go
@@ -177,14 +177,14 @@
 		v.addProblem("rank %q does not exist in policy %s", r.rank, p.Name())
 	}
 	for i, a := range r.accountRanks {
-		if _, ok := p.Rank(a.rank); !ok {
-			v.addProblem("rank %q of account_ranks does not exist in policy %s", a.rank, p.Name())
+		if _, ok := p.Rank(a.Rank); !ok {
+			v.addProblem("rank %q of account_ranks does not exist in policy %s", a.Rank, p.Name())
 		}
-		if a.priority < 0 {
-			v.addProblem("priority %d of account_ranks is negative", a.priority)
+		if a.Priority < 0 {
+			v.addProblem("priority %d of account_ranks is negative", a.Priority)
 		}
-		if i > 0 && r.accountRanks[i-1].priority == a.priority {
-			v.addProblem("priority %d occurs twice in account_ranks", a.priority)
+		if i > 0 && r.accountRanks[i-1].Priority == a.Priority {
+			v.addProblem("priority %d occurs twice in account_ranks", a.Priority)
 		}
 	}
 }
--- a/baobabconfiguration/view.go
+++ b/baobabconfiguration/view.go
@@ -161,8 +161,8 @@
 		return routeEntry{}, errors.Errorf("rank %q does not exist in policy %s", r.rank, p.name)
 	}
 	for _, a := range r.accountRanks {
-		if _, ok := p.Rank(a.rank); !ok {
-			return routeEntry{}, errors.Errorf("rank %q does not exist in policy %s", a.rank, p.name)
+		if _, ok := p.Rank(a.Rank); !ok {
+			return routeEntry{}, errors.Errorf("rank %q does not exist in policy %s", a.Rank, p.name)
 		}
 	}
 	return routeEntry{route: r, policy: p}, nil
