--- a/baobabconfiguration/route.go
+++ b/baobabconfiguration/route.go
@@ -1,6 +1,8 @@
 package baobabconfiguration
 
 import (
+	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -24,6 +26,14 @@
 	idempotent            bool
 	unsafe                bool // No request may run more than once, whatever its method; excludes idempotent.
 	requireIdempotencyKey bool
+	allowAnonymous        bool              // Calls without a key are served while there are accounts.
+	accountRanks          []accountRankJSON // Sorted by priority.
+}
+
+// accountRankJSON names the rank that a route gives to calls of accounts with a priority.
+type accountRankJSON struct {
+	Priority int    `json:"priority"`
+	Rank     string `json:"rank"`
 }
 
 type routeJSON struct {
@@ -38,11 +48,25 @@
 	RequireIdempotencyKey bool                  `json:"require_idempotency_key"`
 	Split                 []weightedServiceJSON `json:"split,omitempty"`
 	Unsafe                bool                  `json:"unsafe,omitempty"`
+	AllowAnonymous        bool                  `json:"allow_anonymous,omitempty"`
+	AccountRanks          []accountRankJSON     `json:"account_ranks,omitempty"`
 }
 
 // RouteOption sets an optional property of a route.
 type RouteOption func(*routeJSON)
 
+// WithRouteAccountRanks sets the ranks of calls of accounts, by the priority of the account.
+func WithRouteAccountRanks(ranks map[int]string) RouteOption {
+	list := make([]accountRankJSON, 0, len(ranks))
+	for _, priority := range slices.Sorted(maps.Keys(ranks)) {
+		list = append(list, accountRankJSON{Priority: priority, Rank: ranks[priority]})
+	}
+	return func(j *routeJSON) { j.AccountRanks = list } // Shared by all routes with the option.
+}
+
+// WithRouteAllowAnonymous declares that calls without a key are served.
+func WithRouteAllowAnonymous() RouteOption { return func(j *routeJSON) { j.AllowAnonymous = true } }
+
 // WithRouteIdempotent declares that a request may run more than once, whatever its method.
 func WithRouteIdempotent() RouteOption { return func(j *routeJSON) { j.Idempotent = true } }
 
@@ -101,6 +125,7 @@
 func newRoute(name string, j routeJSON) (Route, error) {
 	slices.Sort(j.Methods)
 	slices.SortStableFunc(j.Split, func(a, b weightedServiceJSON) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortStableFunc(j.AccountRanks, func(a, b accountRankJSON) int { return cmp.Compare(a.Priority, b.Priority) })
 	if j.Service == "" && len(j.Split) > 0 {
 		j.Service = j.Split[0].Service
 	}
@@ -115,6 +140,8 @@
 		idempotent:            j.Idempotent,
 		unsafe:                j.Unsafe,
 		requireIdempotencyKey: j.RequireIdempotencyKey,
+		allowAnonymous:        j.AllowAnonymous,
+		accountRanks:          j.AccountRanks,
 	}
 	for _, s := range j.Split {
 		r.split = append(r.split, WeightedService{service: s.Service, weight: s.Weight})
@@ -197,6 +224,19 @@
 // RequireIdempotencyKey reports whether non-idempotent requests without an idempotency key are refused.
 func (r Route) RequireIdempotencyKey() bool { return r.requireIdempotencyKey }
 
+// AllowsAnonymous reports whether calls without a key are served while the configuration has accounts.
+func (r Route) AllowsAnonymous() bool { return r.allowAnonymous }
+
+// AccountRank returns the rank of calls of accounts with the priority, or an empty string if they get the route's rank.
+func (r Route) AccountRank(priority int) string {
+	for _, a := range r.accountRanks {
+		if a.Priority == priority {
+			return a.Rank
+		}
+	}
+	return ""
+}
+
 // allowsMethod reports whether the route matches requests with the method.
 func (r Route) allowsMethod(method string) bool {
 	return len(r.methods) == 0 || slices.Contains(r.methods, method)
