--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -182,12 +182,15 @@
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
 	n.accounts, n.limits, n.dependencies = &accountController{}, &limitController{}, &dependencyController{}
-	n.rollouts = &rolloutController{}
+	n.rollouts = newRolloutController(n.overrides.rollouts, n.board, n.members, n.now, n.logger)
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
 	if source == nil {
 		source = n.releases
 	}
+	if s, ok := source.(OrderSource); ok {
+		s.FollowOrders(n.rollouts.observeOrder)
+	}
 	n.configuration = &configurationController{
 		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
 		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
--- a/baobabnode/option.go
+++ b/baobabnode/option.go
@@ -17,6 +17,7 @@
 	store                     platform.Store // Nil: a client for the platform URL in the settings.
 	source                    Source         // Nil: the versions that operators accept through nodes, from the store.
 	authoritative             bool
+	rollouts                  bool
 	callerOptions             []caller.Option
 	clientOptions             []upstream.ClientOption
 	announcementHandler       func(*upstream.Registry) http.Handler
@@ -33,6 +34,10 @@
 // Confirm must never return a version older than one that has been in force.
 func WithAuthoritativeSource() Option { return func(o *overrides) { o.authoritative = true } }
 
+// WithRollouts restricts the calls of each service to upstreams of the version in use, which the label "version" states, and
+// of a version that an operator rolls out.
+func WithRollouts() Option { return func(o *overrides) { o.rollouts = true } }
+
 // WithCallerOptions adds options for the handler that serves callers.
 func WithCallerOptions(options ...caller.Option) Option {
 	return func(o *overrides) { o.callerOptions = append(o.callerOptions, options...) }
--- a/baobabnode/source.go
+++ b/baobabnode/source.go
@@ -5,8 +5,17 @@
 
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
+	rollout "github.com/baobabdale/baobabdale/baobabrollout"
 )
 
+// An OrderSource is a Source that also hands on the operator's roll-out orders.
+type OrderSource interface {
+	Source
+	// FollowOrders sets the function that gets each order that the source reads, possibly several times. It is called
+	// before the first read.
+	FollowOrders(observe func(rollout.Order))
+}
+
 // A Source provides accepted configuration versions. release.Repository implements it.
 type Source interface {
 	// Head returns the current version. The result may be stale.
--- a/baobabnode/upstreamcontroller.go
+++ b/baobabnode/upstreamcontroller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"time"
 
@@ -102,7 +103,7 @@
 		c.gate.ClearRequestLimit(c.now())
 	}
 	if old != nil && old.State() == state && !c.differsFromAnnounced(notice) && old.ID() == u.ID() && old.Service() == u.Service() &&
-		old.Slots() == u.Slots() && old.Connections() == u.Connections() {
+		old.Slots() == u.Slots() && old.Connections() == u.Connections() && maps.Equal(old.Labels(), u.Labels()) {
 		return
 	}
 	c.announcedNotice = notice
--- a/baobabupstream/announcement.go
+++ b/baobabupstream/announcement.go
@@ -39,6 +39,17 @@
 // WithStart sets the start time of the upstream.
 func WithStart(t time.Time) AnnouncementOption { return func(a *Announcement) { a.startedAt = t } }
 
+// WithLabel adds a label.
+func WithLabel(name, value string) AnnouncementOption {
+	return func(a *Announcement) {
+		a.labels = maps.Clone(a.labels)
+		if a.labels == nil {
+			a.labels = map[string]string{}
+		}
+		a.labels[name] = value
+	}
+}
+
 // WithState sets the state; the default is StateReady.
 func WithState(s State) AnnouncementOption { return func(a *Announcement) { a.state = s } }
 
@@ -53,6 +64,7 @@
 	}
 	j := announcementJSON{
 		UpstreamID: upstreamID, Service: service, Address: address, Slots: slots, Connections: connections, State: a.state,
+		Labels: a.labels,
 	}
 	if problem := j.validate(); problem != "" {
 		return Announcement{}, newError("new announcement", KindInvalid, "%s", problem)
@@ -156,6 +168,9 @@
 // Labels returns a copy of the labels.
 func (a Announcement) Labels() map[string]string { return maps.Clone(a.labels) }
 
+// Label returns the value of a label, or an empty string.
+func (a Announcement) Label(name string) string { return a.labels[name] }
+
 // State returns the announced state.
 func (a Announcement) State() State { return a.state }
 
