--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	clock             func() time.Time
 	headerNames       call.HeaderNames
 	callIDsFromCaller bool   // The call id is taken from the request if present.
+	parentInCallID    bool   // The part of a call id before its last dot is the id of the parent.
 	callerService     string // Sent upstream in FieldCallerService if that has a name.
 	refusalStatus     func(*call.Refusal) int
 	formatRetryAfter  func(time.Duration) string
@@ -100,6 +102,10 @@
 // WithCallIDsFromCaller uses the call id in the request, if there is one, instead of a generated id.
 func WithCallIDsFromCaller() Option { return func(h *Handler) { h.callIDsFromCaller = true } }
 
+// WithParentInCallID takes the part of a call id before its last dot as the id of the call during which an upstream makes
+// the call, unless the request names that id.
+func WithParentInCallID() Option { return func(h *Handler) { h.parentInCallID = true } }
+
 // WithCallerService sets the service on whose VM calls enter the mesh. It is sent to upstreams with each call.
 func WithCallerService(name string) Option { return func(h *Handler) { h.callerService = name } }
 
@@ -164,6 +170,19 @@
 	return h.ids.next()
 }
 
+// parentID returns the id of the call during which an upstream makes the call with the given id, or an empty string. The
+// id only counts while that call is in progress at the upstream of this node.
+func (h *Handler) parentID(header http.Header, id string) (string, *call.Refusal) {
+	parent, refusal := readSingleValue(header, h.headerNames.Name(call.FieldParentID))
+	if refusal != nil || parent != "" || !h.parentInCallID {
+		return parent, refusal
+	}
+	if dot := strings.LastIndexByte(id, '.'); dot > 0 {
+		return id[:dot], nil
+	}
+	return "", nil
+}
+
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r)
 	if a := conn.begin(r); a != nil {
--- a/baobabcaller/handler_test.go
+++ b/baobabcaller/handler_test.go
@@ -392,6 +392,48 @@
 	}
 }
 
+// TestParentID guards against nested calls that are not related to their parent, and against a parent that nobody named.
+func TestParentID(t *testing.T) {
+	parents := make(chan string, 1)
+	server := serverFunc(func(_ context.Context, _ time.Time, c *call.Call) (*call.Answer, *call.Refusal) {
+		parents <- c.ParentID()
+		return nil, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "full")
+	})
+	names := call.NewHeaderNames(map[call.HeaderField]string{call.FieldCallID: "X-Id", call.FieldParentID: "X-Parent"})
+	options := []Option{WithHeaderNames(names), WithCallIDsFromCaller()}
+	for _, c := range []struct {
+		id, parent string
+		options    []Option
+		want       string
+	}{
+		{"a.1", "", nil, ""},
+		{"a.1", "b", nil, "b"},
+		{"a.1", "", []Option{WithParentInCallID()}, "a"},
+		{"a.1.2", "", []Option{WithParentInCallID()}, "a.1"},
+		{"a.1", "b", []Option{WithParentInCallID()}, "b"},
+		{"a", "", []Option{WithParentInCallID()}, ""},
+		{".1", "", []Option{WithParentInCallID()}, ""},
+	} {
+		url, _ := startHandler(t, server, append(options, c.options...)...)
+		request, err := http.NewRequest(http.MethodGet, url+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("X-Id", c.id)
+		if c.parent != "" {
+			request.Header.Set("X-Parent", c.parent)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if got := <-parents; got != c.want {
+			t.Errorf("id %s, parent %q, %d options: parent %q, want %q", c.id, c.parent, len(c.options), got, c.want)
+		}
+	}
+}
+
 // TestBodyMemory guards against bodies, with and without a declared length, that together exceed the memory of the VM,
 // and against memory that is not released.
 func TestBodyMemory(t *testing.T) {
--- a/baobabcaller/request.go
+++ b/baobabcaller/request.go
@@ -33,6 +33,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	parentID, refusal := h.parentID(r.Header, id)
+	if refusal != nil {
+		return nil, refusal
+	}
 	caller, refusal := h.callerIdentity(r)
 	if refusal != nil {
 		return nil, refusal
@@ -43,7 +47,7 @@
 	}
 	header := h.forwardableHeader(r.Header, h.headerNames.Name(call.FieldIdempotencyKey), "Content-Length", "Expect")
 	h.setField(header, call.FieldCallerService, h.callerService)
-	options = append(options, call.WithBody(body), call.WithHeader(header))
+	options = append(options, call.WithBody(body), call.WithHeader(header), call.WithParentID(parentID))
 	return call.NewCall(id, caller, r.Method, r.Host, requestTarget(r), options...), nil
 }
 
--- /dev/null
+++ b/baobabsettings/admission.go
@@ -0,0 +1,31 @@
+package baobabsettings
+
+// Admission holds the settings of admission control under scarce capacity. All of them are off by default.
+type Admission struct {
+	nestedPriority bool
+	objectiveOrder bool
+	rootAdmission  bool
+}
+
+func readAdmission(r *reader) Admission {
+	a := Admission{
+		nestedPriority: r.choice("admission", "nested_priority", "off", "on", "off") == "on",
+		objectiveOrder: r.choice("admission", "objective_order", "off", "on", "off") == "on",
+		rootAdmission:  r.choice("admission", "root_admission", "off", "on", "off") == "on",
+	}
+	if a.rootAdmission && !a.nestedPriority {
+		r.addProblem("admission", "root_admission", "requires nested_priority = on")
+	}
+	return a
+}
+
+// NestedPriority reports whether calls that an upstream makes while it runs another one are related to that call, and go
+// before other calls of their rank.
+func (a Admission) NestedPriority() bool { return a.nestedPriority }
+
+// ObjectiveOrder reports whether calls that can still meet their objective go before those that cannot, and calls that
+// would miss it because of the queue are refused.
+func (a Admission) ObjectiveOrder() bool { return a.objectiveOrder }
+
+// RootAdmission reports whether calls are refused whose nested calls could not be served for lack of room.
+func (a Admission) RootAdmission() bool { return a.rootAdmission }
--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -23,6 +23,7 @@
 	membership Membership
 	shutdown   Shutdown
 	upstream   Upstream
+	admission  Admission
 	log        Log
 }
 
@@ -58,6 +59,7 @@
 		membership: readMembership(r),
 		shutdown:   readShutdown(r),
 		upstream:   readUpstream(r),
+		admission:  readAdmission(r),
 		log:        readLog(r),
 	}
 	r.reportUnknown()
@@ -100,5 +102,8 @@
 // Upstream returns the settings of the upstream on the VM.
 func (s *Settings) Upstream() Upstream { return s.upstream }
 
+// Admission returns how admission control treats nested calls and objectives.
+func (s *Settings) Admission() Admission { return s.admission }
+
 // Log returns the level and the format of the log.
 func (s *Settings) Log() Log { return s.log }
--- a/baobabsettings/settings_test.go
+++ b/baobabsettings/settings_test.go
@@ -72,7 +72,7 @@
 		t.Fatal(err)
 	}
 	if s.Limits() != defaults.Limits() || s.Call() != defaults.Call() || s.Claim() != defaults.Claim() ||
-		s.Log() != defaults.Log() || s.Membership() != defaults.Membership() || s.Shutdown() != defaults.Shutdown() {
+		s.Log() != defaults.Log() || s.Admission() != defaults.Admission() || s.Membership() != defaults.Membership() || s.Shutdown() != defaults.Shutdown() {
 		t.Error("the example shows a value as default that is not the default")
 	}
 	if got := s.Node().Labels()["tier"]; got != "urgent" {
@@ -141,6 +141,8 @@
 			"[peers] tls_key_file: a value is required with TLS"}},
 		{"short token", "= token", "= short", []string{"[operator] token_file: short has 15 bytes, at least 16 are needed"}},
 		{"missing token file", "= token", "= gone", []string{"[operator] token_file: open gone: file does not exist"}},
+		{"root admission alone", "", "[admission]\nroot_admission = on\n",
+			[]string{"[admission] root_admission: requires nested_priority = on"}},
 		{"label", "", "[node_labels]\na b = c\n",
 			[]string{"[node_labels] a b: the key is not 1 to 63 lower-case letters, digits, '.', '_', '/' or '-'"}},
 		{"label value", "", "[node_labels]\na = b c\n",
