--- a/baobabadmission/option.go
+++ b/baobabadmission/option.go
@@ -7,7 +7,7 @@
 
 // WithPolicy sets the policy. The default policy has a single rank.
 func WithPolicy(p Policy) Option {
-	return func(g *Gate) { g.queue = NewQueue(p) }
+	return func(g *Gate) { g.queue.Configure(p) }
 }
 
 // WithWarmUp sets the time after the start of the upstream over which the limit grows to its full value, and the
@@ -16,6 +16,13 @@
 	return func(g *Gate) { g.limiter = NewLimiter(d, min(max(fraction, 0), 1)) }
 }
 
+// WithNestedPriority serves nested calls before other calls of their rank.
+func WithNestedPriority() Option { return func(g *Gate) { g.queue.nestedPriority = true } }
+
+// WithObjectiveOrder serves calls that can still meet their objective before others of their rank, and refuses those that
+// would miss it because of the queue.
+func WithObjectiveOrder() Option { return func(g *Gate) { g.queue.objectiveOrder = true } }
+
 // WithAnnouncedLimit fixes the limit at the announced slots. It suits upstreams whose announcement is known to be right
 // and whose latency rises for reasons other than concurrency, such as calls that they make themselves.
 func WithAnnouncedLimit() Option {
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -18,6 +18,9 @@
 	ranks    []*rankQueue // Parallel to policy.ranks.
 	length   int
 	sequence uint64
+
+	nestedPriority bool // Nested calls go before other calls of their rank.
+	objectiveOrder bool // Calls that can meet their objective go before those that cannot.
 }
 
 // NewQueue returns an empty queue.
@@ -70,7 +73,11 @@
 	if refusal := deadlineRefusal(now, r, s, wait); refusal != nil {
 		return nil, nil, refusal
 	}
-	if refusal := q.targetRefusal(rank, r.caller, s, wait); refusal != nil {
+	e := q.newEntry(now, r, s, estimate)
+	if refusal := q.objectiveRefusal(now, e, s, wait); refusal != nil {
+		return nil, nil, refusal
+	}
+	if refusal := q.targetRefusal(now, e, s, wait); refusal != nil {
 		return nil, nil, refusal
 	}
 	var drops []Drop
@@ -84,10 +91,7 @@
 		drops = []Drop{{entry: victim, refusal: refusal}}
 	}
 	q.sequence++
-	e := &Entry{request: r, sequence: q.sequence, enqueuedAt: now, estimatedWait: estimate, rank: rank}
-	if s.inFlight > 0 {
-		e.minService = s.minService
-	}
+	e.sequence = q.sequence
 	q.ranks[rank].push(e)
 	q.length++
 	return e, drops, nil
@@ -116,9 +120,9 @@
 //
 // When the work of the rank and of more urgent ranks does not account for the wait, the rank is not the cause of it. Its
 // calls then wait for slots held by less urgent calls, as they would at any endpoint, and are accepted.
-func (q *Queue) targetRefusal(rank int, caller string, s UpstreamStats, wait time.Duration) *call.Refusal {
-	target := q.policy.ranks[rank].latencyTarget
-	if target <= 0 || !q.ranks[rank].overloaded {
+func (q *Queue) targetRefusal(now time.Time, e *Entry, s UpstreamStats, wait time.Duration) *call.Refusal {
+	target := q.policy.ranks[e.rank].latencyTarget
+	if target <= 0 || !q.ranks[e.rank].overloaded {
 		return nil
 	}
 	// Half of the time that a slow call leaves of the target keeps the slots busy and allows for varying service times.
@@ -126,17 +130,18 @@
 	// bound of target/8 keeps an upstream that is slower than the target from stopping all work.
 	slack := target - s.expectedLatency*slowServicePercent/100
 	maxWait := max(slack/2, target/8)
-	if wait <= maxWait || q.workAhead(rank, caller, s) <= maxWait {
+	if wait <= maxWait || q.workAhead(e, s) <= maxWait {
 		return nil
 	}
 	const detail = "rank is overloaded and the estimated wait exceeds its target"
-	return call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, detail).WithRetryAfter(wait)
+	return call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, detail).WithRetryAfter(q.returnAfter(now, e, wait, wait-maxWait))
 }
 
 // workAhead returns how long all slots are held by a new call of the rank and caller and by the calls that are served
 // before it.
-func (q *Queue) workAhead(rank int, caller string, s UpstreamStats) time.Duration {
-	calls := q.ranks[rank].entriesAhead(caller) + 1
+func (q *Queue) workAhead(e *Entry, s UpstreamStats) time.Duration {
+	rank := e.rank
+	calls := q.ranks[rank].entriesAhead(e.request.caller, e.lane) + 1
 	work := time.Duration(calls) * s.expectedLatency
 	for i := range rank {
 		calls += q.ranks[i].length
@@ -178,7 +183,7 @@
 			floors += q.policy.ranks[i].floorPercent
 		}
 	}
-	ahead := float64(q.ranks[rank].entriesAhead(r.caller) + 1)
+	ahead := float64(q.ranks[rank].entriesAhead(r.caller, q.laneOf(now, r, s)) + 1)
 	floor := float64(q.policy.ranks[rank].floorPercent) / 100 * rate
 	availableRate := max(floor, rate*float64(100-floors)/100-urgentRate, rate/100)
 	seconds := float64(urgentWaiting)/rate + ahead/availableRate
@@ -206,7 +211,7 @@
 	if largest != nil && own+1 < largest.len() {
 		return largest.newest(), call.ReasonCallerShare
 	}
-	callers := len(q.ranks[rank].callers)
+	callers := q.ranks[rank].callerCount()
 	if callers > 1 && own >= q.policy.callerQueueShare(callers) {
 		return nil, call.ReasonCallerShare
 	}
@@ -231,8 +236,9 @@
 		if rank < 0 {
 			return nil, drops
 		}
-		e := q.ranks[rank].pop()
+		e := q.ranks[rank].pop(now)
 		q.length--
+		drops = append(drops, q.dropLate(now, rank)...)
 		if refusal := lateRefusal(e, now, e.minService); refusal != nil {
 			drops = append(drops, Drop{entry: e, refusal: refusal})
 			continue
--- a/baobabadmission/queue_test.go
+++ b/baobabadmission/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 		} else {
 			s.queue.Configure(p)
 		}
+		s.queue.nestedPriority, s.queue.objectiveOrder = d.HasArg("nested-priority"), d.HasArg("objective-order")
 		return fmt.Sprintf("waiting: %d\n", s.queue.Len())
 	case "offer":
 		return s.offer(t, d, now)
@@ -75,7 +77,8 @@
 	return NewPolicy(ranks, limit, callerFloor)
 }
 
-// offer offers one request per line: rank, caller, deadline in ms (0 for none). The arguments slots, in-flight, latency
+// offer offers one request per line: rank, caller, deadline in ms (0 for none), and optionally "nested" or the objective
+// in ms. The arguments slots, in-flight, latency
 // (ms) and min-service (ms) give the limit, the calls in flight, the mean latency and the least service time.
 func (s *queueScript) offer(t *testing.T, d *datadriven.TestData, now time.Time) string {
 	var slots, inFlight, latency, minService int
@@ -96,7 +99,17 @@
 		if ms > 0 {
 			deadline = simEpoch.Add(time.Duration(ms) * time.Millisecond)
 		}
-		e, drops, refusal := s.queue.Offer(now, NewRequest(rank, caller, deadline, ""), stats)
+		r := NewRequest(rank, caller, deadline, "")
+		if words := strings.Fields(line); len(words) > 3 && words[3] == "nested" {
+			r = r.WithNested()
+		} else if len(words) > 3 {
+			objective, err := strconv.Atoi(words[3])
+			if err != nil {
+				d.Fatalf(t, "objective of %q: %v", line, err)
+			}
+			r = r.WithObjective(simEpoch.Add(time.Duration(objective) * time.Millisecond))
+		}
+		e, drops, refusal := s.queue.Offer(now, r, stats)
 		b.WriteString(s.drops(drops))
 		if refusal != nil {
 			fmt.Fprintf(&b, "refused %s/%s: %s\n", rank, caller, refusalText(refusal))
--- a/baobabadmission/rankqueue.go
+++ b/baobabadmission/rankqueue.go
@@ -1,7 +1,6 @@
 package baobabadmission
 
 import (
-	"container/list"
 	"math"
 	"time"
 )
@@ -24,12 +23,11 @@
 	maxCorrection = 4
 )
 
-// A rankQueue holds the waiting entries of one rank and serves its callers round robin.
+// A rankQueue holds the waiting entries of one rank in lanes.
 type rankQueue struct {
-	callers    map[string]*callerQueue // Only callers with entries.
-	roundRobin *list.List              // Of *callerQueue; the front is served next.
-	length     int
-	credit     float64 // Grants due to the rank by its floor; at least 0.
+	lanes  [laneCount]*lane
+	length int
+	credit float64 // Grants due to the rank by its floor; at least 0.
 
 	estimateMeter   waitMeter // Mean of the uncorrected estimates of granted entries.
 	waitMeter       waitMeter // A mean, because with round robin single waits are short even under overload.
@@ -41,86 +39,90 @@
 	arrivalCount    float64 // Arrivals, exponentially decayed with rateTimeConstant.
 	lastArrival     time.Time
 	expectedLatency time.Duration // Recent mean of the latencies expected of arrivals.
+	nextReturn      time.Time     // When the next refused caller is asked to return.
 }
 
 func newRankQueue() *rankQueue {
-	return &rankQueue{callers: map[string]*callerQueue{}, roundRobin: list.New()}
+	r := &rankQueue{}
+	for k := range r.lanes {
+		r.lanes[k] = newLane()
+	}
+	return r
 }
 
 // copyStats copies the statistics of the rank under an earlier policy, but not its entries.
 func (r *rankQueue) copyStats(old *rankQueue) {
 	stats := *old
-	stats.callers, stats.roundRobin, stats.length = r.callers, r.roundRobin, r.length
+	stats.lanes, stats.length = r.lanes, r.length
 	*r = stats
 }
 
-// push appends the entry to the queue of its caller. A caller without entries joins the end of the round robin.
+// push appends the entry to its lane.
 func (r *rankQueue) push(e *Entry) {
 	if r.length == 0 && e.enqueuedAt.After(r.lastShortWait) {
 		r.lastShortWait = e.enqueuedAt
 	}
-	c, ok := r.callers[e.request.caller]
-	if !ok {
-		c = newCallerQueue(e.request.caller)
-		r.callers[c.caller] = c
-		c.element = r.roundRobin.PushBack(c)
-	}
-	c.push(e)
+	r.lanes[e.lane].push(e)
 	r.length++
 }
 
 // remove removes the entry from the queue.
 func (r *rankQueue) remove(e *Entry) {
-	c := e.callerQueue
-	c.entries.Remove(e.element)
-	e.callerQueue, e.element = nil, nil
+	r.lanes[e.lane].remove(e)
 	r.length--
-	if c.len() == 0 {
-		r.roundRobin.Remove(c.element)
-		delete(r.callers, c.caller)
-	}
 }
 
-// pop removes and returns the oldest entry of the caller that is served next, and moves the caller to the end of the
-// round robin. The queue must not be empty.
-func (r *rankQueue) pop() *Entry {
-	c := r.roundRobin.Front().Value.(*callerQueue)
-	r.roundRobin.MoveToBack(c.element)
-	e := c.oldest()
-	r.remove(e)
-	return e
+// pop removes and returns the entry that is served next. The queue must not be empty. Entries that can no longer meet
+// their objective move to the late lane, unless a nested call is served.
+func (r *rankQueue) pop(now time.Time) *Entry {
+	for _, l := range r.lanes {
+		for l.length > 0 {
+			e := l.pop()
+			if e.lane != laneOnTime || !e.missesObjective(now) {
+				r.length--
+				return e
+			}
+			e.lane = laneLate
+			r.lanes[laneLate].push(e)
+		}
+	}
+	return nil
 }
 
 // callerLen returns the number of entries of the caller.
 func (r *rankQueue) callerLen(caller string) int {
-	c, ok := r.callers[caller]
-	if !ok {
-		return 0
+	n := 0
+	for _, l := range r.lanes {
+		n += l.callerLen(caller)
+	}
+	return n
+}
+
+// callerCount returns the number of callers with entries in the fullest lane.
+func (r *rankQueue) callerCount() int {
+	n := 0
+	for _, l := range r.lanes {
+		n = max(n, len(l.callers))
 	}
-	return c.len()
+	return n
 }
 
-// largestCaller returns the caller with the most entries, or nil when the queue is empty. Among equals it is the one
-// served first.
+// largestCaller returns the caller with the most entries in the lane that is served last, or nil when the queue is
+// empty.
 func (r *rankQueue) largestCaller() *callerQueue {
-	var largest *callerQueue
-	for e := r.roundRobin.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*callerQueue)
-		if largest == nil || c.len() > largest.len() {
-			largest = c
+	for k := laneCount - 1; k >= 0; k-- {
+		if c := r.lanes[k].largestCaller(); c != nil {
+			return c
 		}
 	}
-	return largest
+	return nil
 }
 
-// entriesAhead returns how many entries of the rank are served before a new entry of the caller.
-func (r *rankQueue) entriesAhead(caller string) int {
-	own := r.callerLen(caller)
-	n := own
-	for name, c := range r.callers {
-		if name != caller {
-			n += min(c.len(), own+1)
-		}
+// entriesAhead returns how many entries of the rank are served before a new entry of the caller in the lane.
+func (r *rankQueue) entriesAhead(caller string, k laneKind) int {
+	n := r.lanes[k].entriesAhead(caller)
+	for i := range k {
+		n += r.lanes[i].length
 	}
 	return n
 }
@@ -128,10 +130,8 @@
 // entries returns all entries in no particular order.
 func (r *rankQueue) entries() []*Entry {
 	all := make([]*Entry, 0, r.length)
-	for e := r.roundRobin.Front(); e != nil; e = e.Next() {
-		for x := e.Value.(*callerQueue).entries.Front(); x != nil; x = x.Next() {
-			all = append(all, x.Value.(*Entry))
-		}
+	for _, l := range r.lanes {
+		all = l.appendEntries(all)
 	}
 	return all
 }
@@ -155,6 +155,10 @@
 func (r *rankQueue) recordGrant(now time.Time, e *Entry, target time.Duration) {
 	r.grantCount = r.decayedGrants(now) + 1
 	r.lastGrant = now
+	if e.lane == laneLate {
+		// The wait of a call that lets others pass says nothing about theirs.
+		return
+	}
 	r.waitMeter.observe(now, now.Sub(e.enqueuedAt))
 	r.estimateMeter.observe(now, e.estimatedWait)
 	r.updateOverloaded(now, target)
--- a/baobabadmission/request.go
+++ b/baobabadmission/request.go
@@ -10,6 +10,8 @@
 	kind     string
 
 	freeSlotOnly bool
+	nested       bool      // Made by an upstream while it runs another call.
+	objective    time.Time // Zero means none.
 }
 
 // NewRequest returns a request. The kind groups calls of similar cost, for example by route. Latencies are compared only
@@ -24,6 +26,18 @@
 	return r
 }
 
+// WithNested returns a copy of a call that an upstream makes while it runs another call.
+func (r Request) WithNested() Request {
+	r.nested = true
+	return r
+}
+
+// WithObjective returns a copy with the time until which the answer is of full use to the caller.
+func (r Request) WithObjective(t time.Time) Request {
+	r.objective = t
+	return r
+}
+
 // Rank returns the name of the rank.
 func (r Request) Rank() string { return r.rank }
 
