--- a/baobabdependency/doc.go
+++ b/baobabdependency/doc.go
@@ -1,3 +1,3 @@
-// Package baobabdependency learns which services a kind of call needs while it runs, and decides how many such calls start
-// when those services lack room.
+// Package baobabdependency learns which services the upstream on a VM calls while it runs a call, and limits the calls that
+// start while those services lack room.
 package baobabdependency
--- /dev/null
+++ b/baobabdependency/tracker.go
@@ -0,0 +1,84 @@
+package baobabdependency
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxKinds bounds the kinds of roots that are remembered; further ones are always admitted.
+const maxKinds = 64
+
+// A Tracker records the nested calls of the upstream on one VM by the kind of their root, and decides which roots start.
+// Its state is local and decays within seconds. It reads no clock and is safe for concurrent use.
+type Tracker struct {
+	onChange func(now time.Time, k KindState) // Called with the lock held.
+
+	mu    sync.Mutex
+	kinds map[string]*kind
+}
+
+// NewTracker returns a tracker that admits all roots until nested calls are refused for lack of room. It calls onChange,
+// which must not call the tracker, when it starts to refuse roots of a kind and when it admits all of them again.
+func NewTracker(onChange func(now time.Time, k KindState)) *Tracker {
+	return &Tracker{onChange: onChange, kinds: map[string]*kind{}}
+}
+
+// RecordNested records a nested call of a kind of root to a service, and how long it took.
+func (t *Tracker) RecordNested(now time.Time, kindName, service string, e Ending, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, ok := t.kinds[kindName]
+	if !ok {
+		if len(t.kinds) >= maxKinds {
+			return
+		}
+		k = newKind(kindName)
+		t.kinds[kindName] = k
+	}
+	defer t.reportChange(now, k, k.shortSince)
+	k.record(now, service, e, took)
+}
+
+// RootAdmission reports whether a root of the kind starts, and otherwise after which time its caller should return.
+func (t *Tracker) RootAdmission(now time.Time, kindName string) (bool, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, ok := t.kinds[kindName]
+	if !ok {
+		return true, 0
+	}
+	defer t.reportChange(now, k, k.shortSince)
+	return k.admit(now)
+}
+
+// reportChange calls onChange if the kind began or ceased to be short since the given state.
+func (t *Tracker) reportChange(now time.Time, k *kind, shortSince time.Time) {
+	if k.shortSince.IsZero() != shortSince.IsZero() {
+		t.onChange(now, newKindState(k))
+	}
+}
+
+// Kinds returns what is known about each kind whose roots make nested calls, sorted by name.
+func (t *Tracker) Kinds() []KindState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]KindState, 0, len(t.kinds))
+	for _, k := range t.kinds {
+		all = append(all, newKindState(k))
+	}
+	slices.SortFunc(all, func(a, b KindState) int { return strings.Compare(a.name, b.name) })
+	return all
+}
+
+// Kind returns what is known about one kind; false if its roots make no nested calls.
+func (t *Tracker) Kind(name string) (KindState, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, ok := t.kinds[name]
+	if !ok {
+		return KindState{}, false
+	}
+	return newKindState(k), true
+}
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -52,6 +52,8 @@
 	version string
 	// fairCaller is the caller to which admission charges a nested call; empty: the call's account or caller.
 	fairCaller string
+	// rootKind is the kind of the call that makes a nested call, on the node where the call entered; otherwise empty.
+	rootKind string
 }
 
 // admissionCaller returns the caller among which admission shares a rank.
@@ -59,6 +61,11 @@
 	return cmp.Or(r.fairCaller, r.call.Account(), r.call.Caller())
 }
 
+// kind returns the group of calls of similar cost that the call belongs to.
+func (r *admissionRequest) kind() string {
+	return r.call.Method() + " " + firstPathSegment(r.call.Target())
+}
+
 // needsClaim reports whether the call must claim its idempotency key before it runs.
 func (r *admissionRequest) needsClaim() bool {
 	return !r.idempotent && r.call.IdempotencyKey() != ""
@@ -162,7 +169,10 @@
 // execute queues the call and sends it to the upstream. A claim is released if the call certainly did not run. If the
 // upstream answered, the answer is recorded in the claim once it has been read.
 func (a *Admitter) execute(ctx context.Context, r *admissionRequest, granted *claim.Granted) (*call.Answer, *call.Refusal) {
-	request := admission.NewRequest(r.rank, r.admissionCaller(), r.deadline, r.call.Method()+" "+firstPathSegment(r.call.Target()))
+	request := admission.NewRequest(r.rank, r.admissionCaller(), r.deadline, r.kind()).WithObjective(r.objective)
+	if r.nested {
+		request = request.WithNested()
+	}
 	if r.freeSlotOnly {
 		request = request.WithFreeSlotOnly()
 	}
--- a/baobabnode/dependencycontroller.go
+++ b/baobabnode/dependencycontroller.go
@@ -1,14 +1,27 @@
 package baobabnode
 
 import (
+	"fmt"
+	"io"
+	"sync"
 	"time"
 
 	call "github.com/baobabdale/baobabdale/baobabcall"
+	dependency "github.com/baobabdale/baobabdale/baobabdependency"
+	settings "github.com/baobabdale/baobabdale/baobabsettings"
 )
 
 // A dependencyController relates nested calls to the calls that make them, and limits the calls whose nested calls cannot
 // be served.
-type dependencyController struct{}
+type dependencyController struct {
+	enabled       bool // Nested calls are related to their roots.
+	rootAdmission bool
+	tracker       *dependency.Tracker
+	decisions     *decisionLog
+
+	mu         sync.Mutex
+	inProgress map[string]*rootCall // Calls at the upstream on this VM, by id.
+}
 
 // A rootCall is what a nested call inherits from the call that makes it.
 type rootCall struct {
@@ -16,17 +29,130 @@
 	account   string
 	deadline  time.Time
 	objective time.Time // Zero: none.
+	kind      string
+}
+
+func newDependencyController(s settings.Admission, decisions *decisionLog) *dependencyController {
+	d := &dependencyController{
+		enabled: s.NestedPriority(), rootAdmission: s.RootAdmission(), decisions: decisions, inProgress: map[string]*rootCall{},
+	}
+	d.tracker = dependency.NewTracker(d.logChange)
+	return d
+}
+
+// logChange logs that calls begin or cease to be refused because of the services that the upstream calls.
+func (d *dependencyController) logChange(now time.Time, k dependency.KindState) {
+	if k.ShortSince().IsZero() {
+		d.decisions.write(now, "nested calls find room again", "root", k.Name(), "refused", k.Refused())
+		return
+	}
+	d.decisions.write(now, "nested calls find no room", "root", k.Name(), "service", k.ShortOf(), "share", k.Share())
 }
 
 // root returns the call in progress at the upstream on this VM that makes c, and whether there is one.
-func (d *dependencyController) root(time.Time, *call.Call) (rootCall, bool) { return rootCall{}, false }
+func (d *dependencyController) root(_ time.Time, c *call.Call) (rootCall, bool) {
+	if !d.enabled || c.ParentID() == "" {
+		return rootCall{}, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	root, ok := d.inProgress[c.ParentID()]
+	if !ok {
+		return rootCall{}, false
+	}
+	return *root, true
+}
 
 // track registers a call that starts at the upstream on this VM. The returned function ends the registration.
-func (d *dependencyController) track(time.Time, *admissionRequest) func() { return func() {} }
+func (d *dependencyController) track(_ time.Time, r *admissionRequest) func() {
+	if !d.enabled {
+		return func() {}
+	}
+	id := r.call.ID()
+	root := &rootCall{rank: r.rank, account: r.admissionCaller(), deadline: r.deadline, objective: r.objective, kind: r.kind()}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inProgress[id] = root
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		// A repeated call with the same id has its own registration.
+		if d.inProgress[id] == root {
+			delete(d.inProgress, id)
+		}
+	}
+}
 
 // admitRoot refuses a call if the services that its upstream would call lack room.
-func (d *dependencyController) admitRoot(time.Time, *admissionRequest) *call.Refusal { return nil }
+func (d *dependencyController) admitRoot(now time.Time, r *admissionRequest) *call.Refusal {
+	if !d.rootAdmission {
+		return nil
+	}
+	kind := r.kind()
+	admitted, retryAfter := d.tracker.RootAdmission(now, kind)
+	if admitted {
+		return nil
+	}
+	detail := "a service that the upstream calls lacks room"
+	if state, ok := d.tracker.Kind(kind); ok {
+		detail = fmt.Sprintf("the upstream calls %s, which lacks room for %v; %.0f%% of such calls start",
+			state.ShortOf(), now.Sub(state.ShortSince()).Round(time.Millisecond), 100*state.Share())
+	}
+	return call.NewRefusal(call.ReasonDependencyShort, call.OutcomeNotRun, detail).WithRetryAfter(retryAfter)
+}
 
 // observeNested records how a nested call from the upstream on this VM ended. Exactly one of answer and refusal is set.
-func (d *dependencyController) observeNested(time.Time, *admissionRequest, *call.Answer, *call.Refusal, time.Duration) {
+func (d *dependencyController) observeNested(now time.Time, r *admissionRequest, _ *call.Answer, refusal *call.Refusal,
+	took time.Duration) {
+	if !d.enabled || r.rootKind == "" {
+		return
+	}
+	d.tracker.RecordNested(now, r.rootKind, r.service, endingOf(refusal), took)
+}
+
+// endingOf returns how a call ended, by its refusal or nil. Upstreams that refuse calls themselves may do so for any
+// reason, so only refusals of admission control count as a lack of room.
+func endingOf(refusal *call.Refusal) dependency.Ending {
+	switch {
+	case refusal == nil:
+		return dependency.EndingServed
+	case lacksRoom(refusal):
+		return dependency.EndingShort
+	default:
+		return dependency.EndingFailed
+	}
+}
+
+// lacksRoom reports whether admission control refused a call because other calls take the room.
+func lacksRoom(refusal *call.Refusal) bool {
+	if refusal.Outcome() != call.OutcomeNotRun {
+		return false
+	}
+	switch refusal.Reason() {
+	case call.ReasonCallerShare, call.ReasonDeadlinePassed, call.ReasonDeadlineUnmeetable, call.ReasonDependencyShort,
+		call.ReasonNoFreeSlot, call.ReasonQueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
+// writeMetrics writes the state of each kind of root. Kinds come from calls, and their number is bounded.
+func (d *dependencyController) writeMetrics(w io.Writer) {
+	for _, k := range d.tracker.Kinds() {
+		since := 0.0
+		if !k.ShortSince().IsZero() {
+			since = float64(k.ShortSince().UnixNano()) / 1e9
+		}
+		_, _ = fmt.Fprintf(w, "baobab_dependency_root_share{root=%q} %g\n", k.Name(), k.Share())
+		_, _ = fmt.Fprintf(w, "baobab_dependency_roots_refused_total{root=%q} %d\n", k.Name(), k.Refused())
+		_, _ = fmt.Fprintf(w, "baobab_dependency_roots_started_total{root=%q} %d\n", k.Name(), k.Started())
+		_, _ = fmt.Fprintf(w, "baobab_dependency_short_since_timestamp_seconds{root=%q,service=%q} %.3f\n", k.Name(), k.ShortOf(), since)
+		for _, s := range k.Services() {
+			_, _ = fmt.Fprintf(w, "baobab_dependency_nested_seconds{root=%q,service=%q} %g\n", k.Name(), s.Service(), s.Latency().Seconds())
+			for _, e := range dependency.Endings() {
+				_, _ = fmt.Fprintf(w, "baobab_dependency_nested_total{root=%q,service=%q,ending=%q} %d\n", k.Name(), s.Service(), e, s.Calls(e))
+			}
+		}
+	}
 }
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -160,7 +160,7 @@
 	if rank, ok := policy.Rank(root.rank); ok && rank.Priority() < own.Priority() {
 		r.rank = rank.Name()
 	}
-	r.fairCaller = root.account
+	r.fairCaller, r.rootKind = root.account, root.kind
 	r.deadline = earlierOf(r.deadline, root.deadline)
 	if !root.objective.IsZero() && (r.objective.IsZero() || root.objective.Before(r.objective)) {
 		r.objective = root.objective
--- a/baobabnode/ingress_test.go
+++ b/baobabnode/ingress_test.go
@@ -52,7 +52,7 @@
 	endpoint := route.NewCandidate("n1", "127.0.0.1:1", "a", "r", 6, time.Time{})
 	board.SetEndpoints(map[string]*route.CandidateSet{"lanes": route.NewCandidateSet("lanes", "a", "r", []route.Candidate{endpoint})})
 	return &Ingress{
-		board: board, budgets: blackboard.NewShardedMap[budgetKey, *route.Budget](), ready: fixedReadiness(""),
+		board: board, budgets: blackboard.NewShardedMap[budgetKey, *route.Budget](), ready: fixedReadiness(""), dependencies: &dependencyController{},
 		defaultTimeout: 5 * time.Second, maxTimeout: 30 * time.Second, now: func() time.Time { return now },
 	}
 }
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -84,7 +84,7 @@
 func New(s *settings.Settings, logger *log.Logger, options ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, logger: logger, metrics: metrics.NewSet(), tomb: new(tomb.Tomb), now: time.Now,
-		board: blackboard.NewBoard(), gate: newGate(s.Upstream()), endpointStats: route.NewEndpointStats(),
+		board: blackboard.NewBoard(), gate: newGate(s.Upstream(), s.Admission()), endpointStats: route.NewEndpointStats(),
 		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit())),
 	}
 	n.overrides.gracePeriod, n.overrides.drainTimeout = s.Shutdown().GracePeriod(), s.Shutdown().DrainTimeout()
@@ -126,11 +126,17 @@
 }
 
 // newGate returns the admission gate for an upstream.
-func newGate(u settings.Upstream) *admission.Gate {
+func newGate(u settings.Upstream, a settings.Admission) *admission.Gate {
 	options := []admission.Option{admission.WithWarmUp(u.WarmUp(), warmUpFraction)}
 	if u.FixedLimit() {
 		options = append(options, admission.WithAnnouncedLimit())
 	}
+	if a.NestedPriority() {
+		options = append(options, admission.WithNestedPriority())
+	}
+	if a.ObjectiveOrder() {
+		options = append(options, admission.WithObjectiveOrder())
+	}
 	return admission.NewGate(options...)
 }
 
@@ -181,7 +187,8 @@
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
-	n.accounts, n.limits, n.dependencies = &accountController{}, &limitController{}, &dependencyController{}
+	n.accounts, n.limits = &accountController{}, &limitController{}
+	n.dependencies = newDependencyController(s.Admission(), n.decisionLog)
 	n.rollouts = &rolloutController{}
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
--- a/baobabnode/wirecall.go
+++ b/baobabnode/wirecall.go
@@ -1,6 +1,7 @@
 package baobabnode
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -61,7 +62,7 @@
 		BodySize:       int64(len(c.Body())),
 		Retried:        c.Retried(),
 		FreeSlotOnly:   r.freeSlotOnly,
-		Account:        c.Account(),
+		Account:        cmp.Or(r.fairCaller, c.Account()),
 		Nested:         r.nested,
 		Version:        r.version,
 	}
@@ -98,6 +99,10 @@
 		call.WithBody(body), call.WithHeader(fromWireHeader(m.GetHeader())), call.WithIdempotencyKey(m.GetIdempotencyKey()),
 		call.WithAccount(m.GetAccount()),
 	}
+	if m.GetNested() {
+		// The caller to charge is not an account of the call, so the upstream does not see it.
+		options = append(options, call.WithAccount(""))
+	}
 	if m.GetRetried() {
 		options = append(options, call.WithRetried())
 	}
@@ -111,6 +116,9 @@
 		nested:       m.GetNested(),
 		version:      m.GetVersion(),
 	}
+	if r.nested {
+		r.fairCaller = m.GetAccount()
+	}
 	if m.GetHasTarget() {
 		r.objective = now.Add(time.Duration(m.GetTargetRemainingUs()) * time.Microsecond)
 	}
