--- a/baobabcaller/request.go
+++ b/baobabcaller/request.go
@@ -33,6 +33,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	parentID, refusal := h.parentID(r.Header, id)
+	if refusal != nil {
+		return nil, refusal
+	}
 	caller, refusal := h.callerIdentity(r)
 	if refusal != nil {
 		return nil, refusal
@@ -44,7 +48,8 @@
 	header := h.forwardableHeader(r.Header, h.headerNames.Name(call.FieldIdempotencyKey), "Content-Length", "Expect")
 	h.setField(header, call.FieldCallerService, h.callerService)
 	field := h.headerNames.Name(call.FieldCredential)
-	options = append(options, call.WithBody(body), call.WithHeader(header), call.WithCredential(call.ReadCredential(r.Header, field), field))
+	options = append(options, call.WithBody(body), call.WithHeader(header), call.WithParentID(parentID),
+		call.WithCredential(call.ReadCredential(r.Header, field), field))
 	return call.NewCall(id, caller, r.Method, r.Host, requestTarget(r), options...), nil
 }
 
