--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -175,6 +175,9 @@
 	start := g.now()
 	r.candidates, r.request.version = g.rollouts.candidates(start, random, r.candidates)
 	plan := g.chooser.NewOfferPlan(random, r.candidates)
+	if g.peerClient.needsGrant(r.request) && !r.request.needsClaim() {
+		plan.AskFirst(g.self)
+	}
 	var lastRefusal *call.Refusal
 	upstreamAttempts := 0 // Attempts that may have reached an upstream.
 	lastEndpoint := ""
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -220,7 +220,9 @@
 	status := &statusController{
 		board: n.board, members: n.members, admitter: n.admitter, retryCounters: counters, transport: n.transport, now: n.now,
 	}
+	transfers := newTransferMeter(s.Balance().GrantBodySize().Bytes(), s.Balance().LinkBytesPerSecond(), n.metrics)
 	n.peerHandler = &peerHandler{
+		bodies:   &bodyGranter{admitter: n.admitter, transfers: transfers},
 		admitter: n.admitter, configuration: n.configuration, membership: n.membership, broadcaster: n.membership.broadcaster,
 		quarantine: n.quarantine, accounts: n.accounts, limits: n.limits, rollouts: n.rollouts, status: status, maxBodyBytes: s.Limits().MaxBodySize().Bytes(),
 		bodyMemory: call.NewBodyMemory(s.Limits().BodyMemory().Bytes()), now: n.now, logger: n.logger,
@@ -229,7 +231,7 @@
 		board: n.board, chooser: route.NewChooser(n.endpointStats, route.WithWarmUp(s.Upstream().WarmUp())),
 		endpointStats: n.endpointStats,
 		budgets:       blackboard.NewShardedMap[budgetKey, *route.Budget](), admitter: n.admitter,
-		peerClient: &peerClient{transport: n.transport, now: n.now}, members: n.members, self: n.members.self, ready: n.bootstrapper,
+		peerClient: &peerClient{transport: n.transport, bodies: newBodySender(transfers, n.now), now: n.now}, members: n.members, self: n.members.self, ready: n.bootstrapper,
 		retryCounters: counters, defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
 		decisions: n.decisionLog, accounts: n.accounts, limits: n.limits, dependencies: n.dependencies, rollouts: n.rollouts,
 	}
--- a/baobabnode/peerclient.go
+++ b/baobabnode/peerclient.go
@@ -16,6 +16,7 @@
 // peerClient sends calls to the nodes of other upstreams.
 type peerClient struct {
 	transport *peer.Transport
+	bodies    *bodySender // Nil: bodies are sent with their calls.
 	now       func() time.Time
 }
 
@@ -29,6 +30,9 @@
 // attempt sends a call to the node of an endpoint. It calls report with the load that the answer carries.
 func (c *peerClient) attempt(ctx context.Context, r *admissionRequest, to route.Candidate, number int,
 	report func(loadReport)) attemptResult {
+	if refusal := c.bodies.refuse(r); refusal != nil {
+		return attemptResult{refusal: refusal, outcome: route.NewRefused(refusal)}
+	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline.Add(answerGrace))
 	stream, err := c.transport.Open(deadlineCtx, to.Address())
 	if err != nil {
@@ -36,7 +40,7 @@
 		refusal := call.NewRefusal(call.ReasonPeerUnreachable, call.OutcomeNotRun, "node "+to.ID()+" could not be reached")
 		return attemptResult{refusal: refusal, outcome: route.NotSent{}}
 	}
-	result := c.roundTrip(stream, r, number, report)
+	result := c.roundTrip(deadlineCtx, stream, r, number, report)
 	if result.answer == nil {
 		_ = stream.Close()
 		cancel()
@@ -47,12 +51,12 @@
 }
 
 // roundTrip sends the call and receives the head of the answer.
-func (c *peerClient) roundTrip(s *peer.Stream, r *admissionRequest, number int,
+func (c *peerClient) roundTrip(ctx context.Context, s *peer.Stream, r *admissionRequest, number int,
 	report func(loadReport)) attemptResult {
-	if err := c.sendCall(s, r, number); err != nil {
-		return c.unknownOutcome(r, err)
+	reply, sent, err := c.sendCall(ctx, s, r, number)
+	if err != nil && !sent {
+		return notSentResult(err)
 	}
-	reply, err := s.Receive()
 	if err != nil {
 		return c.unknownOutcome(r, err)
 	}
@@ -78,9 +82,22 @@
 	return attemptResult{answer: answer, outcome: route.Answered{}}
 }
 
-func (c *peerClient) sendCall(s *peer.Stream, r *admissionRequest, number int) error {
-	m := &wire.Envelope{Body: &wire.Envelope_Call{Call: toWireCall(c.now(), r, number)}}
-	return s.SendWithBody(m, r.call.Body())
+// needsGrant reports whether the body of a call is sent only after a grant.
+func (c *peerClient) needsGrant(r *admissionRequest) bool { return c != nil && c.bodies.needsGrant(r) }
+
+// sendCall sends the call and receives the first message of the answer. Sent is false if the call certainly did not run
+// because of an error.
+func (c *peerClient) sendCall(ctx context.Context, s *peer.Stream, r *admissionRequest, number int) (
+	reply *wire.Envelope, sent bool, err error) {
+	m := toWireCall(c.now(), r, number)
+	if c.bodies.needsGrant(r) {
+		return c.bodies.roundTrip(ctx, s, m, r.call.Body())
+	}
+	if err := s.SendWithBody(&wire.Envelope{Body: &wire.Envelope_Call{Call: m}}, r.call.Body()); err != nil {
+		return nil, true, err
+	}
+	reply, err = s.Receive()
+	return reply, true, err
 }
 
 // unknownOutcome returns the result of an attempt that may or may not have run.
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -34,6 +34,7 @@
 	status        *statusController
 	maxBodyBytes  int64
 	bodyMemory    *call.BodyMemory // Memory for the bodies of all calls in progress.
+	bodies        *bodyGranter
 	now           func() time.Time
 	logger        *log.Logger
 	calls         sync.WaitGroup // Calls in progress.
@@ -125,7 +126,17 @@
 		return
 	}
 	defer h.bodyMemory.Release(size)
+	bodyArrived := func() {}
+	if c.GetGrantFirst() && size <= h.maxBodyBytes {
+		var refusal *call.Refusal
+		if bodyArrived, refusal = h.bodies.grant(h.now(), s, c); refusal != nil {
+			m := toWireAnswer(nil, refusal, h.admitter.Load(h.now()))
+			_ = s.SendWithBody(&wire.Envelope{Body: &wire.Envelope_CallAnswer{CallAnswer: m}}, nil)
+			return
+		}
+	}
 	r, err := receiveCall(h.now(), s, c, h.maxBodyBytes)
+	bodyArrived()
 	if err != nil {
 		h.logger.Warn("failed to receive call", "call", c.GetId(), "err", err)
 		s.Reset()
--- a/baobabproof/product_test.go
+++ b/baobabproof/product_test.go
@@ -145,7 +145,7 @@
 // against undocumented metrics.
 func TestLimits(t *testing.T) {
 	m := startUnconfiguredMesh(t, smallMeshSpec(t, baobabemulator.WithMeshNodeSettings(
-		"[limits]\nmax_header_size = 4KiB\nmax_body_size = 32KiB\nmax_message_size = 64KiB\nmax_calls = 2\n")))
+		"[limits]\nmax_header_size = 4KiB\nmax_body_size = 32KiB\nmax_message_size = 64KiB\nmax_calls = 2\n[balance]\ngrant_body_size = 8KiB\n")))
 	applyAndWaitServing(t, m)
 	ctx, n := testContext(t), m.Nodes()[0]
 	const refusals = `baobab_caller_refusals_total{reason=%q,outcome="not_run"}`
--- a/baobabroute/offerplan.go
+++ b/baobabroute/offerplan.go
@@ -31,6 +31,8 @@
 	busy    []string // Endpoints that had no free slot.
 
 	nearOffers, otherOffers int // Offers of a free slot so far.
+
+	first string // Endpoint that is asked first for a free slot; empty: none.
 }
 
 // NewOfferPlan returns the plan of one call.
@@ -38,6 +40,10 @@
 	return &OfferPlan{chooser: c, set: set, random: random}
 }
 
+// AskFirst makes the plan ask an endpoint for a free slot before all others, unless it is overloaded. The body of a call
+// is not sent over the network if the endpoint is on the own node.
+func (p *OfferPlan) AskFirst(id string) { p.first = id }
+
 // An Offer is the next endpoint of a call.
 type Offer struct {
 	candidate    Candidate
@@ -61,6 +67,9 @@
 		return p.queue(c), nil
 	}
 	h := choice{Chooser: p.chooser, now: now, random: p.random, set: p.set, excluded: p.isBusy, weightThreshold: p.random.Float64()}
+	if o, ok := p.nextFirst(h); ok {
+		return o, nil
+	}
 	near, other := p.set.nearAndOther()
 	overloaded := p.nearOverloaded(h, near)
 	if !overloaded && len(near) > 1 && p.nearOffers < maxNearOffers {
@@ -82,6 +91,17 @@
 	return p.queue(c), nil
 }
 
+// nextFirst returns the offer to the endpoint that is asked first, once.
+func (p *OfferPlan) nextFirst(h choice) (Offer, bool) {
+	i, ok := p.set.indexByID[p.first]
+	p.first = ""
+	if !ok {
+		return Offer{}, false
+	}
+	s, ok := h.score(i, -1)
+	return Offer{candidate: s.candidate, freeSlotOnly: true}, ok && !s.overloaded
+}
+
 // nearOverloaded reports whether the better of two near endpoints is overloaded, those without a free slot included.
 func (p *OfferPlan) nearOverloaded(h choice, near []int) bool {
 	h.excluded = nil
--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -24,6 +24,7 @@
 	shutdown   Shutdown
 	upstream   Upstream
 	log        Log
+	balance    Balance
 }
 
 // Load reads and validates a settings file and the files that it names. Relative names are relative to the folder of
@@ -59,6 +60,7 @@
 		shutdown:   readShutdown(r),
 		upstream:   readUpstream(r),
 		log:        readLog(r),
+		balance:    readBalance(r),
 	}
 	r.reportUnknown()
 	if len(r.problems) > 0 {
@@ -102,3 +104,6 @@
 
 // Log returns the level and the format of the log.
 func (s *Settings) Log() Log { return s.log }
+
+// Balance returns the settings of the distribution of calls over endpoints.
+func (s *Settings) Balance() Balance { return s.balance }
