--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -25,6 +25,7 @@
 	upstream   Upstream
 	admission  Admission
 	log        Log
+	balance    Balance
 }
 
 // Load reads and validates a settings file and the files that it names. Relative names are relative to the folder of
@@ -61,6 +62,7 @@
 		upstream:   readUpstream(r),
 		admission:  readAdmission(r),
 		log:        readLog(r),
+		balance:    readBalance(r),
 	}
 	r.reportUnknown()
 	if len(r.problems) > 0 {
@@ -107,3 +109,6 @@
 
 // Log returns the level and the format of the log.
 func (s *Settings) Log() Log { return s.log }
+
+// Balance returns the settings of the distribution of calls over endpoints.
+func (s *Settings) Balance() Balance { return s.balance }
