--- a/baobabadmission/preview.go
+++ b/baobabadmission/preview.go
@@ -26,10 +26,15 @@
 	s := NewUpstreamStats(limit, g.inFlight+pending, g.limiter.MeanLatency(), g.limiter.MinServiceTime(r.kind)).
 		WithExpectedLatency(g.limiter.ExpectedLatency(r.kind)).WithRequestLimit(g.pacer.perSecond, pause)
 	rank := g.queue.policy.rankIndex(r.rank)
-	wait := g.queue.EstimateWait(now, r, s)
+	estimate := g.queue.uncorrectedWait(now, r, s)
+	wait := g.queue.correctWait(rank, estimate)
 	refusal := deadlineRefusal(now.Add(transfer), r, s, wait)
+	e := g.queue.newEntry(now, r, s, estimate)
 	if refusal == nil {
-		refusal = g.queue.targetRefusal(rank, r.caller, s, wait)
+		refusal = g.queue.objectiveRefusal(now.Add(transfer), e, s, wait)
+	}
+	if refusal == nil {
+		refusal = g.queue.targetRefusal(now, e, s, wait)
 	}
 	if refusal == nil {
 		return nil
