--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -2,16 +2,55 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	call "github.com/baobabdale/baobabdale/baobabcall"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
+	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	release "github.com/baobabdale/baobabdale/baobabrelease"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
+const (
+	// proofRole is the rendezvous-hash key that orders the members of a failure domain for proofs.
+	proofRole = "proof"
+	// proofRequestTimeout bounds a request for a proof to a member. A proof is worth little once it has taken longer.
+	proofRequestTimeout = 500 * time.Millisecond
+	// confirmTimeout bounds a confirmation by the source, so that a slow source can still give proof in time.
+	confirmTimeout = 1500 * time.Millisecond
+	// proofExpiredRetryAfter is when a call that was refused for want of proof may return.
+	proofExpiredRetryAfter = time.Second
+)
+
 // An accountController identifies the client accounts of calls and keeps the proof that the keys in force are current.
-type accountController struct{}
+type accountController struct {
+	board         *blackboard.Board
+	members       *memberTable
+	configuration *configurationController
+	transport     *peer.Transport
+	freshness     *account.Freshness
+	bootTime      func() time.Duration
+	logger        *log.Logger
+
+	mu         sync.Mutex
+	confirming bool         // Guarded by mu; a confirmation is in progress.
+	head       release.Head // Guarded by mu; the head that was confirmed last.
+}
+
+// newAccountController returns a controller whose configuration must be set before it runs.
+func (n *Node) newAccountController() *accountController {
+	return &accountController{
+		board: n.board, members: n.members, transport: n.transport, logger: n.logger, bootTime: account.BootTime,
+		freshness: account.NewFreshness(n.overrides.withdrawalLimit),
+	}
+}
 
 // An identity is the client account of a call and the rank that it gives the call.
 type identity struct {
@@ -19,9 +58,6 @@
 	rank    string // Empty if the account does not change the rank.
 }
 
-// run obtains proofs until ctx ends.
-func (a *accountController) run(context.Context) error { return nil }
-
 // identify returns the account of a call, or a refusal with OutcomeNotRun. Without accounts in the configuration in force
 // every call is anonymous. Refusals do not distinguish a missing key from an unknown one.
 func (a *accountController) identify(_ time.Time, active *blackboard.ActiveConfiguration, r configuration.Route,
@@ -34,14 +70,164 @@
 	if !k.Presented() && r.AllowsAnonymous() {
 		return identity{}, nil
 	}
-	account := directory.Find(k)
-	if account == nil {
+	if _, ok := k.Digest(); ok && !a.freshness.Valid(a.bootTime(), active.Version().Number()) {
+		return identity{}, call.NewRefusal(call.ReasonProofExpired, call.OutcomeNotRun,
+			"the node cannot prove that keys are still valid").WithRetryAfter(proofExpiredRetryAfter)
+	}
+	found := directory.Find(k)
+	if found == nil {
 		return identity{}, call.NewRefusal(call.ReasonUnauthorized, call.OutcomeNotRun, "the request has no known key")
 	}
-	return identity{account: account.Name(), rank: r.AccountRank(account.Priority())}, nil
+	return identity{account: found.Name(), rank: r.AccountRank(found.Priority())}, nil
 }
 
 // answerProof returns the newest proof that this node holds.
 func (a *accountController) answerProof(time.Time, *wire.ProofRequest) *wire.Proof {
-	return &wire.Proof{}
+	p, ok := a.freshness.Newest()
+	if !ok {
+		return &wire.Proof{}
+	}
+	return &wire.Proof{Number: p.Number(), AgeUs: (a.bootTime() - p.At()).Microseconds()}
+}
+
+// run obtains proofs until ctx ends, while the configuration in force has accounts and keys need proof.
+func (a *accountController) run(ctx context.Context) error {
+	if !a.freshness.Enabled() {
+		return nil
+	}
+	var confirmations sync.WaitGroup
+	defer confirmations.Wait()
+	for ctx.Err() == nil {
+		changed := a.board.ActiveConfigurationChanged()
+		if active := a.board.ActiveConfiguration(); active == nil || active.Accounts().Empty() {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		order := a.members.rendezvousOrder(proofRole, a.members.selfRecord().FailureDomain())
+		before, _ := a.freshness.Newest()
+		target, due := a.freshness.Next(a.bootTime(), positionIn(order, a.members.self), rand.Float64())
+		if !sleep(ctx, due-a.bootTime()) {
+			return nil
+		}
+		if newest, _ := a.freshness.Newest(); newest != before {
+			continue // A confirmation ended meanwhile.
+		}
+		a.freshness.Asked(a.bootTime())
+		a.ask(ctx, target, order, &confirmations)
+	}
+	return nil
+}
+
+// positionIn returns the position of a node in the order of its failure domain.
+func positionIn(order []membership.Member, self string) account.Position {
+	switch {
+	case len(order) == 0 || order[0].ID() == self:
+		return account.PositionFirst
+	case len(order) > 1 && order[1].ID() == self:
+		return account.PositionSecond
+	default:
+		return account.PositionOther
+	}
+}
+
+// ask requests a proof. A confirmation by the source runs in the background, so that a source that does not answer does
+// not keep the node from asking members.
+func (a *accountController) ask(ctx context.Context, t account.Target, order []membership.Member, confirmations *sync.WaitGroup) {
+	switch t {
+	case account.TargetSource:
+		confirmations.Go(func() { a.confirm(ctx) })
+	case account.TargetFirst:
+		if len(order) > 0 {
+			a.askMember(ctx, order[0], false)
+		}
+	case account.TargetSecond:
+		if len(order) > 1 {
+			a.askMember(ctx, order[1], false)
+		}
+	case account.TargetOtherDomain:
+		if m, ok := a.otherDomainMember(); ok {
+			a.askMember(ctx, m, true)
+		}
+	}
+}
+
+// otherDomainMember returns a random live member of another failure domain.
+func (a *accountController) otherDomainMember() (membership.Member, bool) {
+	own := a.members.selfRecord().FailureDomain()
+	var others []membership.Member
+	for _, m := range a.members.liveMembers() {
+		if m.FailureDomain() != own {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return membership.Member{}, false
+	}
+	return others[rand.N(len(others))], true
+}
+
+// askMember requests the proof of a member. The time before the request counts, so that a delayed answer makes the proof
+// look older.
+func (a *accountController) askMember(ctx context.Context, m membership.Member, crossDomain bool) {
+	if m.ID() == a.members.self {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofRequestTimeout)
+	defer cancel()
+	sent := a.bootTime()
+	reply, err := a.transport.Request(ctx, m.PeerAddress(), &wire.Envelope{Body: &wire.Envelope_ProofRequest{
+		ProofRequest: &wire.ProofRequest{From: a.members.self},
+	}})
+	if err != nil {
+		a.logger.Debug("no proof from member", "member", m.ID(), "err", err)
+		return
+	}
+	p := reply.GetProof()
+	if p.GetNumber() == 0 {
+		return
+	}
+	a.freshness.Record(account.NewReceivedProof(p.GetNumber(), sent, time.Duration(p.GetAgeUs())*time.Microsecond))
+	if p.GetNumber() > a.board.ActiveVersion().Number() && p.GetNumber() != a.configuration.rejectedNumber() {
+		a.configuration.observeVersion(&wire.Version{Number: p.GetNumber()}, m.PeerAddress(), crossDomain)
+	}
+}
+
+// confirm obtains a proof from the source, unless that is in progress, and puts a newer version in force.
+func (a *accountController) confirm(ctx context.Context) {
+	a.mu.Lock()
+	if a.confirming {
+		a.mu.Unlock()
+		return
+	}
+	a.confirming = true
+	known := a.head
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	sent := a.bootTime()
+	head, err := a.configuration.source.Confirm(ctx, known)
+	if err == nil {
+		a.recordConfirmed(sent, head)
+	}
+	a.mu.Lock()
+	a.confirming = false
+	a.mu.Unlock()
+	if err != nil {
+		a.logger.Debug("no proof from source", "err", err)
+		return
+	}
+	if err := a.configuration.loadIfNewer(ctx, head, a.configuration.publishesHead()); err != nil {
+		a.logger.Debug("confirmed version not in force", "number", head.Version().Number(), "err", err)
+	}
+}
+
+// recordConfirmed records that the source confirmed a head in answer to a request sent at a boot time.
+func (a *accountController) recordConfirmed(sent time.Duration, head release.Head) {
+	a.mu.Lock()
+	a.head = head
+	a.mu.Unlock()
+	a.freshness.Record(account.NewProof(head.Version().Number(), sent))
 }
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
@@ -55,7 +56,8 @@
 	logger           *log.Logger
 	headPollInterval time.Duration // Interval between reads of the head.
 	fetchRequests    chan fetchRequest
-	joined           chan struct{} // Closed when the bootstrapper has joined the mesh.
+	confirmed        func(sent time.Duration, h release.Head) // Called after each confirmation; may be nil.
+	joined           chan struct{}                            // Closed when the bootstrapper has joined the mesh.
 
 	mu      sync.Mutex                // Serializes installs.
 	history []*configuration.Snapshot // Guarded by mu; oldest first, the last one is in force.
@@ -212,10 +214,14 @@
 
 // confirmHead confirms the head with the source and puts its version in force if the previous read was stale.
 func (c *configurationController) confirmHead(ctx context.Context, read release.Head) error {
+	sent := account.BootTime()
 	head, err := c.source.Confirm(ctx, read)
 	if err != nil {
 		return err
 	}
+	if c.confirmed != nil {
+		c.confirmed(sent, head)
+	}
 	return c.loadIfNewer(ctx, head, false)
 }
 
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -87,6 +87,7 @@
 		board: blackboard.NewBoard(), gate: newGate(s.Upstream()), endpointStats: route.NewEndpointStats(),
 		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit())),
 	}
+	n.overrides.withdrawalLimit = s.Accounts().WithdrawalLimit()
 	n.overrides.gracePeriod, n.overrides.drainTimeout = s.Shutdown().GracePeriod(), s.Shutdown().DrainTimeout()
 	for _, o := range options {
 		o(&n.overrides)
@@ -181,7 +182,7 @@
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
-	n.accounts, n.limits, n.dependencies = &accountController{}, &limitController{}, &dependencyController{}
+	n.accounts, n.limits, n.dependencies = n.newAccountController(), &limitController{}, &dependencyController{}
 	n.rollouts = &rolloutController{}
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
@@ -193,6 +194,7 @@
 		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
 		headPollInterval: s.Platform().PollInterval(), fetchRequests: make(chan fetchRequest, fetchQueueSize), joined: make(chan struct{}),
 	}
+	n.accounts.configuration, n.configuration.confirmed = n.configuration, n.accounts.recordConfirmed
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
 	n.membership = &membershipController{
 		board: n.board, members: n.members, broadcaster: broadcaster, configuration: n.configuration, transport: n.transport,
--- a/baobabnode/option.go
+++ b/baobabnode/option.go
@@ -21,6 +21,7 @@
 	clientOptions             []upstream.ClientOption
 	announcementHandler       func(*upstream.Registry) http.Handler
 	gracePeriod, drainTimeout time.Duration // Default to the settings.
+	withdrawalLimit           time.Duration // Defaults to the settings.
 }
 
 // WithStore replaces the platform client. The node does not close the store.
@@ -49,6 +50,11 @@
 	return func(o *overrides) { o.gracePeriod, o.drainTimeout = gracePeriod, drainTimeout }
 }
 
+// WithWithdrawalLimit overrides the withdrawal limit of the settings; 0 turns it off.
+func WithWithdrawalLimit(d time.Duration) Option {
+	return func(o *overrides) { o.withdrawalLimit = d }
+}
+
 // WithAnnouncementHandler replaces the HTTP handler at the announce address.
 func WithAnnouncementHandler(handler func(*upstream.Registry) http.Handler) Option {
 	return func(o *overrides) { o.announcementHandler = handler }
--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -24,6 +24,7 @@
 	shutdown   Shutdown
 	upstream   Upstream
 	log        Log
+	accounts   Accounts
 }
 
 // Load reads and validates a settings file and the files that it names. Relative names are relative to the folder of
@@ -59,6 +60,7 @@
 		shutdown:   readShutdown(r),
 		upstream:   readUpstream(r),
 		log:        readLog(r),
+		accounts:   readAccounts(r),
 	}
 	r.reportUnknown()
 	if len(r.problems) > 0 {
@@ -100,5 +102,8 @@
 // Upstream returns the settings of the upstream on the VM.
 func (s *Settings) Upstream() Upstream { return s.upstream }
 
+// Accounts returns the settings of client accounts.
+func (s *Settings) Accounts() Accounts { return s.accounts }
+
 // Log returns the level and the format of the log.
 func (s *Settings) Log() Log { return s.log }
