--- a/baobabemulator/caller.go
+++ b/baobabemulator/caller.go
@@ -136,6 +136,9 @@
 	if r.Timeout > 0 {
 		request.Header.Set("Baobab-Timeout-Ms", fmt.Sprint(r.Timeout.Milliseconds()))
 	}
+	if r.AccountKey != "" {
+		request.Header.Set("Authorization", "Bearer "+r.AccountKey)
+	}
 	for name, value := range r.Header {
 		request.Header.Set(name, value)
 	}
--- a/baobabemulator/configurationeditor.go
+++ b/baobabemulator/configurationeditor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -37,6 +39,19 @@
 		RoutePathPrefix(name), service))
 }
 
+// SetAccount creates or replaces an account with keys.
+func (c *ConfigurationEditor) SetAccount(ctx context.Context, name string, keys ...string) error {
+	digests := make([]string, len(keys))
+	for i, k := range keys {
+		digests[i] = fmt.Sprintf("%x", sha256.Sum256([]byte(k)))
+	}
+	text, err := json.Marshal(map[string]any{"key_digests": digests})
+	if err != nil {
+		return err
+	}
+	return c.setResource(ctx, baobaboperator.KindAccount, name, string(text))
+}
+
 // RoutePathPrefix returns the path prefix of a route that a ConfigurationEditor creates.
 func RoutePathPrefix(route string) string { return "/changed/" + route }
 
--- a/baobabemulator/upstreamhandler.go
+++ b/baobabemulator/upstreamhandler.go
@@ -133,6 +133,8 @@
 		Key:        r.Header.Get("Idempotency-Key"),
 		Caller:     r.Header.Get("Baobab-Caller"),
 		Rank:       r.Header.Get("Baobab-Rank"),
+		Account:    r.Header.Get("Baobab-Account"),
+		KeyShown:   r.Header.Get("Authorization") != "",
 		Retried:    r.Header.Get("Baobab-Retried") == "1",
 		Method:     r.Method,
 		Path:       r.URL.RequestURI(),
--- a/baobabemulator/upstreamhistory.go
+++ b/baobabemulator/upstreamhistory.go
@@ -29,6 +29,8 @@
 	Key        string         `json:"key"`
 	Caller     string         `json:"caller"`
 	Rank       string         `json:"rank"`
+	Account    string         `json:"account"`
+	KeyShown   bool           `json:"key_shown"` // The key of the account reached the upstream.
 	Retried    bool           `json:"retried"`
 	Method     string         `json:"method"`
 	Path       string         `json:"path"` // Path and query.
--- a/baobabemulator/violation.go
+++ b/baobabemulator/violation.go
@@ -9,8 +9,8 @@
 
 // Violations compares the records of callers with the runs at upstreams and returns each violation of the guarantees: an
 // answer that is not the complete answer to its request, a call that was refused as not run but did run, an answer
-// without a run, a non-idempotent request that ran more than once, and an idempotency key under which more than one
-// request ran.
+// without a run, a non-idempotent request that ran more than once, an idempotency key under which more than one
+// request ran, and a run of an account whose key reached the upstream.
 func Violations(records []CallerRecord, runs []UpstreamRun) []string {
 	byCall := make(map[string][]UpstreamRun)
 	byContent := make(map[string][]UpstreamRun)
@@ -31,10 +31,22 @@
 		}
 	}
 	list = append(list, keyViolations(runs)...)
+	list = append(list, accountViolations(runs)...)
 	slices.Sort(list)
 	return list
 }
 
+// accountViolations returns the runs of accounts whose key reached the upstream.
+func accountViolations(runs []UpstreamRun) []string {
+	var list []string
+	for _, r := range runs {
+		if r.Account != "" && r.KeyShown {
+			list = append(list, fmt.Sprintf("request %s of account %s reached %s with its key", r.Path, r.Account, r.UpstreamID))
+		}
+	}
+	return list
+}
+
 // keyViolations returns the idempotency keys under which more than one request ran. A key is scoped to its caller and to
 // the service, which is the first segment of the path.
 func keyViolations(runs []UpstreamRun) []string {
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -59,6 +59,15 @@
 	return cmp.Or(r.fairCaller, r.call.Account(), r.call.Caller())
 }
 
+// claimOwner returns the owner of the call's idempotency key. No caller can take the name of an account: header fields
+// cannot contain the zero byte.
+func (r *admissionRequest) claimOwner() string {
+	if a := r.call.Account(); a != "" {
+		return "\x00" + a
+	}
+	return r.call.Caller()
+}
+
 // needsClaim reports whether the call must claim its idempotency key before it runs.
 func (r *admissionRequest) needsClaim() bool {
 	return !r.idempotent && r.call.IdempotencyKey() != ""
@@ -131,7 +140,7 @@
 // claimed, the call is detached from ctx: it runs to its end and its answer is recorded even if the caller disconnects,
 // so that the caller gets it when it repeats the request.
 func (a *Admitter) admitWithClaim(ctx context.Context, now time.Time, r *admissionRequest) (*call.Answer, *call.Refusal) {
-	key := claim.NewKey(r.service, r.call.Caller(), r.call.IdempotencyKey())
+	key := claim.NewKey(r.service, r.claimOwner(), r.call.IdempotencyKey())
 	claimCtx, cancel := context.WithDeadline(ctx, earlierOf(r.deadline, now.Add(claimTimeout)))
 	result, err := a.ledger.Claim(claimCtx, now, key, claim.NewDigest(r.call.Method(), r.call.Target(), r.call.Body()))
 	cancel()
