--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -26,6 +26,7 @@
 	admission  Admission
 	log        Log
 	balance    Balance
+	accounts   Accounts
 }
 
 // Load reads and validates a settings file and the files that it names. Relative names are relative to the folder of
@@ -63,6 +64,7 @@
 		admission:  readAdmission(r),
 		log:        readLog(r),
 		balance:    readBalance(r),
+		accounts:   readAccounts(r),
 	}
 	r.reportUnknown()
 	if len(r.problems) > 0 {
@@ -107,6 +109,9 @@
 // Admission returns how admission control treats nested calls and objectives.
 func (s *Settings) Admission() Admission { return s.admission }
 
+// Accounts returns the settings of client accounts.
+func (s *Settings) Accounts() Accounts { return s.accounts }
+
 // Log returns the level and the format of the log.
 func (s *Settings) Log() Log { return s.log }
 
