--- a/baobabmembership/table.go
+++ b/baobabmembership/table.go
@@ -368,3 +368,18 @@
 	}
 	return out
 }
+
+// Count returns the number of live members, and the number of live members and those that died within a time before now.
+// Members that left are in neither.
+func (t *Table) Count(now time.Time, within time.Duration) (live, known int) {
+	for _, e := range t.entries {
+		switch {
+		case e.member.state.Live():
+			live++
+			known++
+		case e.member.state == StateDead && !e.neverLive && now.Sub(e.stateSince) < within:
+			known++
+		}
+	}
+	return live, known
+}
--- a/baobabnode/limitcontroller.go
+++ b/baobabnode/limitcontroller.go
@@ -2,25 +2,234 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
 	call "github.com/baobabdale/baobabdale/baobabcall"
+	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	quota "github.com/baobabdale/baobabdale/baobabquota"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
+const (
+	// usageTick is how often a node looks for reports to send. It delays an urgent report by half of it on average.
+	usageTick = 50 * time.Millisecond
+	// usageTimeout bounds a report and its reply.
+	usageTimeout = 400 * time.Millisecond
+	// usageSweepInterval is how often unused accounts are freed.
+	usageSweepInterval = 10 * time.Second
+	// topologyInterval bounds the age of the view of the members, also without a change of a member.
+	topologyInterval = 10 * time.Second
+	// deadMemberTime is how long a dead member counts as possibly cut off and alive. Until then a minority of the members
+	// grants only a small part of the limits.
+	deadMemberTime = 10 * time.Minute
+	// limitLogInterval is how often lines about accounts over their limit and about silent coordinators may be logged.
+	limitLogInterval = 5 * time.Second
+)
+
 // A limitController keeps client accounts within their limits over all nodes.
-type limitController struct{}
+type limitController struct {
+	meter     *quota.Meter
+	ledger    *quota.Ledger
+	members   *memberTable
+	transport *peer.Transport
+	now       func() time.Time
+	logger    *log.Logger
+	overLog   *rate.Limiter
+	silentLog *rate.Limiter
+	limitOf   func(account string) (ratePerSecond, burst float64, limited bool)
+
+	admitted, refused, refunded, sent, failed *metrics.Counter
+	lastSilence                               atomic.Int64 // Time without a reply, in nanoseconds.
+}
+
+func newLimitController(members *memberTable, transport *peer.Transport, now func() time.Time, logger *log.Logger, set *metrics.Set) *limitController {
+	l := &limitController{
+		meter: quota.NewMeter(members.self, uint64(now().UnixNano())), ledger: quota.NewLedger(members.self),
+		members: members, transport: transport, now: now, logger: logger,
+		overLog:   rate.NewLimiter(rate.Every(limitLogInterval), 3),
+		silentLog: rate.NewLimiter(rate.Every(limitLogInterval), 1),
+		limitOf:   func(string) (float64, float64, bool) { return 0, 0, false },
+		admitted:  set.NewCounter("baobab_quota_admitted_total"),
+		refused:   set.NewCounter("baobab_quota_refused_total"),
+		refunded:  set.NewCounter("baobab_quota_refunded_total"),
+		sent:      set.NewCounter("baobab_quota_reports_sent_total"),
+		failed:    set.NewCounter("baobab_quota_reports_failed_total"),
+	}
+	set.NewGauge("baobab_quota_reply_age_seconds", func() float64 { return l.meter.LastReplyAge(l.now()).Seconds() })
+	set.NewGauge("baobab_quota_metered_accounts", func() float64 { return float64(l.meter.Len()) })
+	set.NewGauge("baobab_quota_coordinated_accounts", func() float64 { return float64(l.ledger.Len()) })
+	set.NewGauge("baobab_quota_accounts_over_limit", func() float64 { return float64(len(l.ledger.Hot())) })
+	return l
+}
+
+// limit returns the limit of an account, and false if it has none.
+func (l *limitController) limit(account string) (quota.Limit, bool) {
+	perSecond, burst, limited := l.limitOf(account)
+	return quota.NewLimit(perSecond, burst), limited && perSecond > 0
+}
 
 // run reports use to coordinators until ctx ends.
-func (l *limitController) run(context.Context) error { return nil }
+func (l *limitController) run(ctx context.Context) error {
+	ticker := time.NewTicker(usageTick)
+	defer ticker.Stop()
+	var digest membership.Digest
+	var topologyAt, sweptAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := l.now()
+		if next := l.members.digest(); now.Sub(topologyAt) > topologyInterval || len(next.Differing(digest)) > 0 {
+			l.setTopology(now)
+			digest, topologyAt = next, now
+		}
+		if now.Sub(sweptAt) > usageSweepInterval {
+			l.meter.Sweep(now)
+			l.ledger.Sweep(now)
+			sweptAt = now
+		}
+		for _, r := range l.meter.Reports(now) {
+			go l.report(ctx, r)
+		}
+		l.logSilence(now)
+	}
+}
+
+// setTopology derives the coordinators from the live members.
+func (l *limitController) setTopology(now time.Time) {
+	live, known := l.members.count(now, deadMemberTime)
+	coordinators := make([]string, quota.ShardCount(known))
+	for i := range coordinators {
+		coordinators[i] = l.members.self
+		if order := l.members.rendezvousOrder(fmt.Sprintf("quota/%d", i), ""); len(order) > 0 {
+			coordinators[i] = order[0].ID()
+		}
+	}
+	t := quota.NewTopology(coordinators, live, known)
+	l.meter.SetTopology(t)
+	l.ledger.SetTopology(now, t)
+}
+
+// report sends a report and applies the reply.
+func (l *limitController) report(ctx context.Context, r quota.Report) {
+	if r.Coordinator() == l.members.self {
+		l.meter.Apply(l.now(), r, l.record(l.now(), r))
+		return
+	}
+	l.sent.Inc()
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	grants, err := l.requestGrants(ctx, r)
+	if err != nil {
+		l.failed.Inc()
+		l.meter.Fail(l.now(), r)
+		return
+	}
+	l.meter.Apply(l.now(), r, grants)
+}
+
+// requestGrants sends a report and returns the grants of the coordinator.
+func (l *limitController) requestGrants(ctx context.Context, r quota.Report) ([]quota.Grant, error) {
+	coordinator, ok := l.members.member(r.Coordinator())
+	if !ok {
+		return nil, errors.Errorf("coordinator %s is not a member", r.Coordinator())
+	}
+	reply, err := l.transport.Request(ctx, coordinator.PeerAddress(), &wire.Envelope{Body: &wire.Envelope_UsageReport{UsageReport: toWireUsage(r)}})
+	if err != nil {
+		return nil, errors.Wrap(err, "report use")
+	}
+	m := reply.GetUsageReply()
+	if m == nil || !m.GetCoordinator() {
+		return nil, errors.Errorf("node %s does not coordinate accounts", r.Coordinator())
+	}
+	grants := make([]quota.Grant, 0, len(m.GetAccounts()))
+	for _, a := range m.GetAccounts() {
+		grants = append(grants, quota.NewGrant(a.GetAccount(), a.GetShare(), a.GetRequests()))
+	}
+	return grants, nil
+}
+
+// record records a report in the ledger and logs the accounts that it puts over their limit.
+func (l *limitController) record(now time.Time, r quota.Report) []quota.Grant {
+	grants, exceeded := l.ledger.Record(now, r, l.limit)
+	for _, name := range exceeded {
+		if l.overLog.AllowN(now, 1) {
+			limit, _ := l.limit(name)
+			l.logger.Warn("account over its limit", "account", name, "rate", limit.Rate(), "burst", limit.Burst())
+		}
+	}
+	return grants
+}
+
+// logSilence logs when this node falls back to its own share of the limits, and when a coordinator answers again.
+func (l *limitController) logSilence(now time.Time) {
+	silence := l.meter.LastReplyAge(now)
+	if !quota.FallsBack(silence) {
+		silence = 0
+	}
+	before := time.Duration(l.lastSilence.Swap(int64(silence)))
+	if (silence > 0) == (before > 0) || !l.silentLog.AllowN(now, 1) {
+		return
+	}
+	if silence > 0 {
+		l.logger.Warn("coordinator of account limits is silent; this node admits its own share", "silence", silence)
+		return
+	}
+	l.logger.Info("coordinator of account limits answers again", "silence", before)
+}
 
 // admit charges a request to an account, or returns a refusal with OutcomeNotRun. An empty account is never limited.
-func (l *limitController) admit(time.Time, string) *call.Refusal { return nil }
+func (l *limitController) admit(now time.Time, account string) *call.Refusal {
+	if account == "" {
+		return nil
+	}
+	limit, limited := l.limit(account)
+	if !limited {
+		return nil
+	}
+	ok, retryAfter := l.meter.Admit(now, account, limit)
+	if ok {
+		l.admitted.Inc()
+		return nil
+	}
+	l.refused.Inc()
+	return call.NewRefusal(call.ReasonOverLimit, call.OutcomeNotRun, "account "+account+" is over its limit").WithRetryAfter(retryAfter)
+}
 
 // refund gives back the charge of an admitted request that certainly did not run.
-func (l *limitController) refund(time.Time, string) {}
+func (l *limitController) refund(now time.Time, account string) {
+	if account != "" && l.meter.Refund(now, account) {
+		l.refunded.Inc()
+	}
+}
 
 // answerUsage records the use that another node reports.
-func (l *limitController) answerUsage(time.Time, *wire.UsageReport) *wire.UsageReply {
-	return &wire.UsageReply{}
+func (l *limitController) answerUsage(now time.Time, m *wire.UsageReport) *wire.UsageReply {
+	usages := make([]quota.Usage, 0, len(m.GetAccounts()))
+	for _, a := range m.GetAccounts() {
+		usages = append(usages, quota.NewUsage(a.GetAccount(), a.GetAsked(), a.GetAdmitted()))
+	}
+	reply := &wire.UsageReply{Coordinator: true}
+	for _, g := range l.record(now, quota.NewReport(m.GetFrom(), m.GetStart(), usages)) {
+		reply.Accounts = append(reply.Accounts, &wire.AccountAllowance{Account: g.Account(), Share: g.Share(), Requests: g.Requests()})
+	}
+	return reply
+}
+
+func toWireUsage(r quota.Report) *wire.UsageReport {
+	m := &wire.UsageReport{From: r.From(), Start: r.Session()}
+	for _, u := range r.Usages() {
+		m.Accounts = append(m.Accounts, &wire.AccountUsage{Account: u.Account(), Asked: u.Asked(), Admitted: u.Admitted()})
+	}
+	return m
 }
--- a/baobabnode/membertable.go
+++ b/baobabnode/membertable.go
@@ -128,6 +128,13 @@
 	return m.table.RendezvousOrder(key, domain)
 }
 
+// count returns the number of live members, and of live members and those that died within a time before now.
+func (m *memberTable) count(now time.Time, within time.Duration) (live, known int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Count(now, within)
+}
+
 // domainOf returns the failure domain of the VM with the given address, or an empty string if it is unknown.
 func (m *memberTable) domainOf(address string) string {
 	a, err := netip.ParseAddrPort(address)
--- /dev/null
+++ b/baobabquota/limit.go
@@ -0,0 +1,18 @@
+package baobabquota
+
+// A Limit is the limit of an account over all nodes together.
+type Limit struct {
+	rate  float64 // Requests per second; above 0.
+	burst float64 // Requests beyond the rate; at least 1.
+}
+
+// NewLimit returns a limit of a rate in requests per second and a burst in requests. A burst below one request counts as one.
+func NewLimit(ratePerSecond, burst float64) Limit {
+	return Limit{rate: ratePerSecond, burst: max(burst, 1)}
+}
+
+// Rate returns the rate in requests per second.
+func (l Limit) Rate() float64 { return l.rate }
+
+// Burst returns the number of requests beyond the rate.
+func (l Limit) Burst() float64 { return l.burst }
--- /dev/null
+++ b/baobabquota/session.go
@@ -0,0 +1,52 @@
+package baobabquota
+
+import "time"
+
+// A session is a meter's series of reports to one coordinator.
+type session struct {
+	coordinator     string
+	number          uint64
+	active          map[string]*meterAccount // Accounts to report.
+	lastSent        time.Time
+	waiting         bool      // A report is unanswered.
+	unansweredSince time.Time // When the first report since the last reply was sent; zero if all are answered.
+	urgent          bool
+}
+
+func newSession(coordinator string, number uint64) *session {
+	return &session{coordinator: coordinator, number: number, active: map[string]*meterAccount{}}
+}
+
+// due reports whether to send a report now.
+func (s *session) due(now time.Time) bool {
+	age := now.Sub(s.lastSent)
+	if len(s.active) == 0 || (s.waiting && age < replyTimeout) {
+		return false
+	}
+	return age >= reportInterval || (s.urgent && age >= urgentInterval)
+}
+
+func (s *session) sent(now time.Time) {
+	s.lastSent, s.waiting, s.urgent = now, true, false
+	if s.unansweredSince.IsZero() {
+		s.unansweredSince = now
+	}
+}
+
+func (s *session) answered(_ time.Time) {
+	s.waiting, s.unansweredSince = false, time.Time{}
+}
+
+// silence returns the time since the first report that the coordinator has not answered, or zero.
+func (s *session) silence(now time.Time) time.Duration {
+	if s.unansweredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.unansweredSince)
+}
+
+// lost reports whether the coordinator has been silent for too long.
+func (s *session) lost(now time.Time) bool { return FallsBack(s.silence(now)) }
+
+// FallsBack reports whether a node without a reply for a time admits only its own share of the limits.
+func FallsBack(silence time.Duration) bool { return silence > silenceLimit }
--- /dev/null
+++ b/baobabquota/timing.go
@@ -0,0 +1,46 @@
+package baobabquota
+
+import "time"
+
+const (
+	// reportInterval is the time between two reports while accounts are used. Two shards at this interval keep 61 nodes
+	// below 6 messages per second and node, with early reports included.
+	reportInterval = 500 * time.Millisecond
+	// urgentInterval is the minimum time between two reports when an account runs out of its grant.
+	urgentInterval = 100 * time.Millisecond
+	// replyTimeout is how long a report may remain unanswered before the next one is sent.
+	replyTimeout = 400 * time.Millisecond
+	// silenceLimit is how long a node continues with its recent rate without a reply. Coordinators charge it for that time.
+	silenceLimit = 2500 * time.Millisecond
+	// idleTime is how long a throttled account is reported after its last request, so that the node learns when the
+	// account is below its limit again.
+	idleTime = 5 * time.Second
+	// forgetTime is how long an unused account is remembered. It exceeds the time in which a full burst builds up for the
+	// usual burst of a few seconds.
+	forgetTime = 30 * time.Second
+	// lookAhead is the demand that the level of an account must cover: one report interval and the delay of a reply.
+	lookAhead = 600 * time.Millisecond
+	// settleTime is how long an account must have been idle at a coordinator before it starts with a full burst.
+	settleTime = 10 * time.Second
+	// rateWindow is the time constant of the demand of a node.
+	rateWindow = 700 * time.Millisecond
+	// minRetryAfter is the lowest Retry-After of a refusal.
+	minRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter bounds the Retry-After of a refusal.
+	maxRetryAfter = 5 * time.Second
+)
+
+const (
+	// minorityShare is the part of its proportional share that a node or a minority of nodes uses without the rest of the
+	// mesh. Half of the mesh then adds at most a tenth to the rate, which is the overage that limits allow.
+	minorityShare = 0.2
+	// tolerance is the number of requests that an account may be ahead of its limit. Without it an account of 5 requests
+	// per second with random arrivals at 0.62 of its rate has 7 in 1,000 requests refused even by one exact token bucket.
+	tolerance = 8
+	// openRequests is the least that a node may admit without asking first, while an account is below its limit.
+	openRequests = 2
+	// maxReportAccounts bounds the accounts in one report; the others follow in the next one.
+	maxReportAccounts = 512
+	// maxHotGrants bounds the accounts over their limit that a reply names although the report does not.
+	maxHotGrants = 64
+)
