--- a/baobabconfiguration/document.go
+++ b/baobabconfiguration/document.go
@@ -80,6 +80,11 @@
 // Route returns the route, and whether it exists.
 func (d *Document) Route(name string) (Route, bool) { return findResource[Route](d, KindRoute, name) }
 
+// Account returns the account with the name, and whether it exists.
+func (d *Document) Account(name string) (Account, bool) {
+	return findResource[Account](d, KindAccount, name)
+}
+
 // Accounts returns all accounts, sorted by name.
 func (d *Document) Accounts() []Account { return resourcesOfKind[Account](d, KindAccount) }
 
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -188,7 +188,9 @@
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
-	n.accounts, n.limits = n.newAccountController(), &limitController{}
+	n.accounts = n.newAccountController()
+	n.limits = newLimitController(n.members, n.transport, n.now, n.logger, n.metrics)
+	n.limits.limitOf = n.accountLimit
 	n.dependencies = newDependencyController(s.Admission(), n.decisionLog)
 	n.rollouts = newRolloutController(n.overrides.rollouts, n.board, n.members, n.now, n.logger)
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
--- a/baobabnode/wiring.go
+++ b/baobabnode/wiring.go
@@ -101,3 +101,13 @@
 	}
 	return err
 }
+
+// accountLimit returns the limit of an account by the configuration in force, and whether it has one.
+func (n *Node) accountLimit(name string) (ratePerSecond, burst float64, limited bool) {
+	active := n.board.ActiveConfiguration()
+	if active == nil {
+		return 0, 0, false
+	}
+	a, ok := active.Snapshot().Document().Account(name)
+	return a.Rate(), a.Burst(), ok && a.Rate() > 0
+}
