--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -205,6 +205,7 @@
 		permit.Release(a.now(), admission.OutcomeCancelled)
 		return nil, a.refuseInterrupted(granted, t.Sent(), call.ReasonAnswerLost, "the call was cancelled")
 	case upstream.DeadlineExceeded:
+		a.rollouts.observe(a.now(), r, true, a.now().Sub(permit.GrantedAt()))
 		permit.Release(a.now(), admission.OutcomeCancelled)
 		return nil, a.refuseInterrupted(granted, t.Sent(), call.ReasonDeadlinePassed, "the deadline passed while the upstream ran the call")
 	default:
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -183,6 +183,7 @@
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
 	n.accounts, n.limits, n.dependencies = &accountController{}, &limitController{}, &dependencyController{}
 	n.rollouts = newRolloutController(n.overrides.rollouts, n.board, n.members, n.now, n.logger)
+	n.rollouts.connect(n.store, broadcaster, n.transport, n.metrics)
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
 	if source == nil {
--- a/baobabnode/rolloutcontroller.go
+++ b/baobabnode/rolloutcontroller.go
@@ -12,11 +12,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	call "github.com/baobabdale/baobabdale/baobabcall"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
 	rollout "github.com/baobabdale/baobabdale/baobabrollout"
 	route "github.com/baobabdale/baobabdale/baobabroute"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
@@ -27,6 +31,8 @@
 	versionLabel = "version"
 	// rolloutInterval is how often a node reports evidence, and a decider decides, while a roll-out runs.
 	rolloutInterval = 250 * time.Millisecond
+	// rolloutReportTimeout bounds one report of evidence.
+	rolloutReportTimeout = 500 * time.Millisecond
 )
 
 // A rolloutController keeps each service on the versions that its roll-outs allow.
@@ -40,8 +46,17 @@
 	views      *blackboard.ShardedMap[string, *rolloutView] // By service.
 	generation atomic.Uint64                                // Rises with each change of a split.
 
-	mu     sync.Mutex
-	splits map[string]*rollout.Split // Guarded by mu; by service.
+	store       rolloutStore
+	broadcaster *broadcaster
+	transport   *peer.Transport
+	metrics     *metrics.Set
+	evidence    *rolloutEvidence
+	reports     *rolloutReports
+	wake        chan struct{} // Receives a value when a new stage is known.
+
+	mu       sync.Mutex
+	splits   map[string]*rollout.Split  // Guarded by mu; by service.
+	deciding map[string]*rolloutDecider // Guarded by mu; by service.
 }
 
 func newRolloutController(enabled bool, board *blackboard.Board, members *memberTable, now func() time.Time,
@@ -49,18 +64,52 @@
 	return &rolloutController{
 		enabled: enabled, board: board, members: members, now: now, logger: logger,
 		views: blackboard.NewShardedMap[string, *rolloutView](), splits: map[string]*rollout.Split{},
+		deciding: map[string]*rolloutDecider{}, evidence: newRolloutEvidence(now()), reports: newRolloutReports(),
+		wake: make(chan struct{}, 1),
 	}
 }
 
+// connect sets what the controller needs to decide roll-outs and to report evidence.
+func (c *rolloutController) connect(store platform.Store, b *broadcaster, t *peer.Transport, m *metrics.Set) {
+	c.store, c.broadcaster, c.transport = rolloutStore{store: store, now: c.now}, b, t
+	c.metrics = m
+}
+
 // run follows orders and decides stages until ctx ends.
 func (c *rolloutController) run(ctx context.Context) error {
 	if !c.enabled {
 		return nil
 	}
-	for sleep(ctx, rolloutInterval) {
-		c.observeUpstreams(c.now())
+	tick := time.NewTicker(rolloutInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		case <-tick.C:
+			c.observeUpstreams(c.now())
+		}
+		now := c.now()
+		c.reportEvidence(now)
+		c.decideAll(ctx, now)
+	}
+}
+
+// notify makes run act on a new stage or order at once.
+func (c *rolloutController) notify() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
-	return nil
+}
+
+// send sends evidence to a decider and returns its answer.
+func (c *rolloutController) send(address string, m *wire.RolloutEvidence) (*wire.RolloutEvidenceAck, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), rolloutReportTimeout)
+	defer cancel()
+	reply, err := c.transport.Request(ctx, address, &wire.Envelope{Body: &wire.Envelope_RolloutEvidence{RolloutEvidence: m}})
+	return reply.GetRolloutEvidenceAck(), errors.Wrap(err, "report roll-out evidence")
 }
 
 // candidates returns the endpoints that a call may use, and the version that their upstreams must have (empty: any). It
@@ -86,7 +135,8 @@
 	}
 	version := u.Announcement().Label(versionLabel)
 	stage := c.view(now, r.service, c.board.Endpoints(r.service)).stage
-	if !stage.Allows(version) || version != "" && r.version != version && !(r.version == "" && stage.IsBaseline(version)) {
+	matches := version == "" || r.version == version || r.version == "" && stage.IsBaseline(version)
+	if !matches || !stage.Allows(version) {
 		return call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "the version "+version+" of the upstream gets no such calls")
 	}
 	return nil
@@ -158,12 +208,10 @@
 	if c.split(c.now(), o.Service()).ObserveOrder(o) {
 		c.logger.Info("roll-out ordered", "service", o.Service(), "target", o.Target(), "duration", o.Duration(), "order", o.Revision())
 		c.generation.Add(1)
+		c.notify()
 	}
 }
 
-// observe records an answer of the upstream on this VM, or a failure, as evidence about its version.
-func (c *rolloutController) observe(_ time.Time, _ *admissionRequest, _ bool, _ time.Duration) {}
-
 // receiveUpdate applies roll-out records from another node.
 func (c *rolloutController) receiveUpdate(now time.Time, m *wire.RolloutUpdate) {
 	if !c.active() {
@@ -184,7 +232,7 @@
 	defer c.mu.Unlock()
 	s := c.split(now, w.GetService())
 	before := s.Record()
-	changed := false
+	var changed bool
 	if w.GetOrder() == 0 {
 		changed = s.MergeHeld(w.GetBaseline(), at)
 	} else {
@@ -193,6 +241,9 @@
 	if changed || !s.Record().Confirmed().Equal(before.Confirmed()) {
 		c.generation.Add(1)
 	}
+	if changed {
+		c.notify()
+	}
 	return changed
 }
 
@@ -248,6 +299,12 @@
 		return ack
 	}
 	c.mu.Lock()
+	decider := c.deciding[m.GetService()]
+	c.mu.Unlock()
+	if decider != nil {
+		decider.recordEvidence(m)
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s, ok := c.splits[m.GetService()]; ok && s.Record().Order() > 0 {
 		ack.Record = toWireRecord(now, s.Record())
--- a/baobabrollout/record.go
+++ b/baobabrollout/record.go
@@ -12,9 +12,12 @@
 
 // States of a roll-out, sorted.
 const (
-	StateCompleted  State = "completed"
+	StateCompleted State = "completed"
+	// StateRolledBack means that the target gets nothing, and that all nodes in touch know it.
 	StateRolledBack State = "rolled_back"
-	StateRunning    State = "running"
+	// StateRollingBack means that the target gets nothing. Some nodes may not know it yet.
+	StateRollingBack State = "rolling_back"
+	StateRunning     State = "running"
 )
 
 // A Record is the stage of the roll-out of one service. It is immutable.
@@ -40,6 +43,17 @@
 	}
 }
 
+// RejectedRecord returns the record of an order that is not carried out. An order for the version to which the service was
+// moved before is completed.
+func RejectedRecord(o Order, earlier Record, baseline, problem, decider string, now time.Time) Record {
+	r := NewRecord(o, baseline, decider, now)
+	r.state, r.reason = StateRolledBack, problem
+	if earlier.state == StateCompleted && earlier.target == o.Target() && o.Target() != "" {
+		r.state, r.share = StateCompleted, 1
+	}
+	return r
+}
+
 // ReceivedRecord returns a stage that another node decided and that its decider confirmed at a time.
 func ReceivedRecord(service string, order, sequence uint64, target, baseline string, share float64, state State, decider string,
 	confirmed time.Time) Record {
@@ -71,7 +85,7 @@
 func (r Record) State() State { return r.state }
 
 // Running reports whether the roll-out has not ended.
-func (r Record) Running() bool { return r.state == StateRunning }
+func (r Record) Running() bool { return r.state == StateRunning || r.state == StateRollingBack }
 
 // Reason returns why the stage was decided.
 func (r Record) Reason() string { return r.reason }
--- a/baobabrollout/split.go
+++ b/baobabrollout/split.go
@@ -21,6 +21,7 @@
 	heldSince   time.Time
 	single      string // Only version seen since singleSince; empty: none or several.
 	singleSince time.Time
+	stopped     uint64 // Order whose target this node has stopped although its stage allows requests; 0: none.
 }
 
 // NewSplit returns a split of a node that knows nothing about the service yet.
@@ -56,6 +57,9 @@
 	return false
 }
 
+// Stop ends the requests for the target of an order on this node.
+func (s *Split) Stop(order uint64) { s.stopped = order }
+
 // MergeHeld applies the version in use that another node holds since a time, and reports whether it replaces this node's.
 // The one held for longer wins.
 func (s *Split) MergeHeld(version string, since time.Time) bool {
@@ -106,8 +110,8 @@
 	if _, ok := p[stage.baseline]; ok && stage.baseline != "" {
 		others--
 	}
-	stage.unstated = others == 0 && !(r.order > 0 && r.Running())
-	if r.order == 0 || !r.Running() || r.order < s.order.revision || r.share == 0 {
+	stage.unstated = others == 0 && (r.order == 0 || !r.Running())
+	if r.order == 0 || !r.Running() || r.order < s.order.revision || r.share == 0 || r.order == s.stopped {
 		return stage
 	}
 	stage.target, stage.share, stage.until = r.target, r.share, r.confirmed.Add(StageLimit)
