--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -193,6 +193,7 @@
 	n.limits.limitOf = n.accountLimit
 	n.dependencies = newDependencyController(s.Admission(), n.decisionLog)
 	n.rollouts = newRolloutController(n.overrides.rollouts, n.board, n.members, n.now, n.logger)
+	n.rollouts.connect(n.store, broadcaster, n.transport, n.metrics)
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
 	if source == nil {
