--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -14,17 +14,18 @@
 // While requests wait, at least one permit is held, so every release makes progress, or the pacer has no permit and a
 // timer runs. The limit, which rises with time while the upstream warms up, takes effect at the next event.
 type Gate struct {
-	mu             sync.Mutex
-	queue          *Queue
-	limiter        *Limiter
-	pacer          pacer
-	timerRunning   bool // A timer calls dispatch when the pacer has a permit.
-	counters       *counters
-	waitMeter      waitMeter
-	inFlight       int
-	inFlightByRank map[string]int // Permits held, by rank name.
-	draining       bool
-	idle           chan struct{} // Closed once when draining and nothing is in flight.
+	mu                sync.Mutex
+	queue             *Queue
+	limiter           *Limiter
+	pacer             pacer
+	timerRunning      bool // A timer calls dispatch when the pacer has a permit.
+	counters          *counters
+	waitMeter         waitMeter
+	inFlight          int
+	inFlightByRank    map[string]int // Permits held, by rank name.
+	draining          bool
+	ordersByObjective bool          // Does not change.
+	idle              chan struct{} // Closed once when draining and nothing is in flight.
 }
 
 // NewGate returns a gate that allows one call at a time until Announce is called.
@@ -49,20 +50,29 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	expired, stop := deadlineTimer(now, r.deadline)
+	expired, stop := deadlineTimer(now, g.latestGrant(e))
 	defer stop()
 	select {
 	case <-e.waiter.decided:
 	case <-ctx.Done():
 		g.cancelEntry(e, contextRefusal(ctx))
 	case <-expired:
-		const detail = "deadline passed in the queue"
+		const detail = "the deadline leaves no time for the call after its wait"
 		g.cancelEntry(e, call.NewRefusal(call.ReasonDeadlinePassed, call.OutcomeNotRun, detail))
 	}
 	<-e.waiter.decided
 	return e.waiter.permit, e.waiter.refusal
 }
 
+// latestGrant returns until when the entry waits, or the zero time. With an order by objectives a call is refused as soon
+// as the deadline leaves less than its least service time, so that the refusal arrives before the deadline.
+func (g *Gate) latestGrant(e *Entry) time.Time {
+	if e.request.deadline.IsZero() || !g.ordersByObjective {
+		return e.request.deadline
+	}
+	return e.request.deadline.Add(-e.minService)
+}
+
 // deadlineTimer returns a channel that receives at the deadline, or nil when there is none, and a function that stops
 // the timer.
 func deadlineTimer(now, deadline time.Time) (<-chan time.Time, func()) {
--- a/baobabadmission/objective.go
+++ b/baobabadmission/objective.go
@@ -45,17 +45,17 @@
 //
 // A call that would be late even without a wait is accepted unless its rank is overloaded: it lets all others pass.
 func (q *Queue) objectiveRefusal(now time.Time, e *Entry, s UpstreamStats, wait time.Duration) *call.Refusal {
-	if !q.objectiveOrder || e.request.objective.IsZero() || e.lane == laneNested {
+	if !q.objectiveOrder || e.request.objective.IsZero() {
 		return nil
 	}
 	target := q.policy.ranks[e.rank].latencyTarget
 	overloaded := q.ranks[e.rank].overloaded
 	maxWait := e.request.objective.Sub(now) - s.expectedLatency*slowServicePercent/100
 	switch {
-	case e.lane == laneLate && !overloaded:
+	case maxWait <= 0 && !overloaded:
 		return nil
-	case overloaded:
-		// See targetRefusal for the half.
+	case overloaded || e.lane == laneNested:
+		// See targetRefusal for the half. The root of a nested call needs time after it, and may make further ones.
 		maxWait /= 2
 	}
 	maxWait = max(maxWait, target/8)
--- a/baobabadmission/option.go
+++ b/baobabadmission/option.go
@@ -21,7 +21,9 @@
 
 // WithObjectiveOrder serves calls that can still meet their objective before others of their rank, and refuses those that
 // would miss it because of the queue.
-func WithObjectiveOrder() Option { return func(g *Gate) { g.queue.objectiveOrder = true } }
+func WithObjectiveOrder() Option {
+	return func(g *Gate) { g.queue.objectiveOrder, g.ordersByObjective = true, true }
+}
 
 // WithAnnouncedLimit fixes the limit at the announced slots. It suits upstreams whose announcement is known to be right
 // and whose latency rises for reasons other than concurrency, such as calls that they make themselves.
--- a/baobabdependency/kind.go
+++ b/baobabdependency/kind.go
@@ -13,6 +13,8 @@
 	minEvidence = 6
 	// maxDecisionInterval bounds the time without a decision.
 	maxDecisionInterval = 500 * time.Millisecond
+	// evidenceLifetime is how long nested calls count. Longer intervals occur only without calls.
+	evidenceLifetime = time.Second
 	// settleTime is how long nested calls are ignored after a cut, because they belong to roots that started before it.
 	settleTime = 250 * time.Millisecond
 	// tolerance is the share of nested calls refused for lack of room up to which a service has room.
@@ -46,7 +48,6 @@
 	refused      uint64
 
 	share      float64   // Share of roots that start, minShare to 1.
-	credit     float64   // Below 1 after a decision about a root.
 	phase      float64   // Position of the next Retry-After in the spread, 0 to 1.
 	decidedAt  time.Time // Of the last change, or of the first nested call.
 	cutAt      time.Time // Of the last cut.
@@ -103,7 +104,7 @@
 		return
 	}
 	worst := k.worst()
-	short := worst != nil && worst.shortShare() > tolerance
+	short := worst != nil && worst.shortShare() > tolerance && elapsed < evidenceLifetime
 	if short && worst.evidence() < minEvidence && elapsed < maxDecisionInterval {
 		return
 	}
@@ -152,17 +153,10 @@
 	}
 }
 
-// admit reports whether a root starts, and otherwise when its caller should return.
-func (k *kind) admit(now time.Time) (bool, time.Duration) {
+// admit reports whether the root with the given position, 0 to 1, starts, and otherwise when its caller should return.
+func (k *kind) admit(now time.Time, position float64) (bool, time.Duration) {
 	k.decide(now)
-	if k.share >= 1 {
-		k.roots++
-		return true, 0
-	}
-	k.credit += k.share
-	if k.credit >= 1 {
-		k.credit--
-		k.roots++
+	if k.share >= 1 || position < k.share {
 		return true, 0
 	}
 	k.refused++
--- a/baobabdependency/tracker.go
+++ b/baobabdependency/tracker.go
@@ -1,10 +1,13 @@
 package baobabdependency
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxKinds bounds the kinds of roots that are remembered; further ones are always admitted.
@@ -41,8 +44,10 @@
 	k.record(now, service, e, took)
 }
 
-// RootAdmission reports whether a root of the kind starts, and otherwise after which time its caller should return.
-func (t *Tracker) RootAdmission(now time.Time, kindName string) (bool, time.Duration) {
+// RootAdmission reports whether the root with the given call id starts, and otherwise after which time its caller should
+// return. The id decides which roots start, so that nodes with equal shares agree about a call that is offered to several
+// of them.
+func (t *Tracker) RootAdmission(now time.Time, kindName, id string) (bool, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k, ok := t.kinds[kindName]
@@ -50,7 +55,7 @@
 		return true, 0
 	}
 	defer t.reportChange(now, k, k.shortSince)
-	return k.admit(now)
+	return k.admit(now, float64(xxhash.Sum64String(id))/math.MaxUint64)
 }
 
 // reportChange calls onChange if the kind began or ceased to be short since the given state.
@@ -60,6 +65,15 @@
 	}
 }
 
+// RecordStart counts a root that starts.
+func (t *Tracker) RecordStart(kindName string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k, ok := t.kinds[kindName]; ok {
+		k.roots++
+	}
+}
+
 // Kinds returns what is known about each kind whose roots make nested calls, sorted by name.
 func (t *Tracker) Kinds() []KindState {
 	t.mu.Lock()
--- a/baobabdependency/tracker_test.go
+++ b/baobabdependency/tracker_test.go
@@ -1,6 +1,7 @@
 package baobabdependency
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
@@ -13,7 +14,7 @@
 	started, n := 0, 0
 	for at := from; at < to; at += 25 * time.Millisecond {
 		n++
-		if ok, _ := tr.RootAdmission(epoch.Add(at), "GET a"); ok {
+		if ok, _ := tr.RootAdmission(epoch.Add(at), "GET a", at.String()); ok {
 			started++
 			tr.RecordNested(epoch.Add(at), "GET a", "b", served(at, started), 20*time.Millisecond)
 		}
@@ -63,18 +64,18 @@
 		t.Errorf("kind %+v, %d changes; want short of b, 1 change", k, changes)
 	}
 	returns := map[time.Duration]bool{}
-	for range 20 {
-		if ok, after := tr.RootAdmission(epoch.Add(2*time.Second), "GET a"); !ok {
+	for i := range 20 {
+		if ok, after := tr.RootAdmission(epoch.Add(2*time.Second), "GET a", strconv.Itoa(i)); !ok {
 			returns[after.Round(20*time.Millisecond)] = true
 		}
 	}
 	if len(returns) < 15 {
 		t.Errorf("%d different times to return, want at least 15", len(returns))
 	}
-	if ok, _ := tr.RootAdmission(epoch.Add(5*time.Second), "GET a"); !ok || changes != 2 {
+	if ok, _ := tr.RootAdmission(epoch.Add(5*time.Second), "GET a", "1"); !ok || changes != 2 {
 		t.Errorf("refused after 3 s without a nested call; %d changes", changes)
 	}
-	if ok, _ := tr.RootAdmission(epoch, "unknown"); !ok {
+	if ok, _ := tr.RootAdmission(epoch, "unknown", "1"); !ok {
 		t.Error("a kind without nested calls is refused")
 	}
 }
--- a/baobabnode/dependencycontroller.go
+++ b/baobabnode/dependencycontroller.go
@@ -70,6 +70,7 @@
 	}
 	id := r.call.ID()
 	root := &rootCall{rank: r.rank, account: r.admissionCaller(), deadline: r.deadline, objective: r.objective, kind: r.kind()}
+	d.tracker.RecordStart(root.kind)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inProgress[id] = root
@@ -89,7 +90,7 @@
 		return nil
 	}
 	kind := r.kind()
-	admitted, retryAfter := d.tracker.RootAdmission(now, kind)
+	admitted, retryAfter := d.tracker.RootAdmission(now, kind, r.call.ID())
 	if admitted {
 		return nil
 	}
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -15,8 +15,13 @@
 	route "github.com/baobabdale/baobabdale/baobabroute"
 )
 
-// answerGrace is how long the ingress waits beyond the deadline for the admitting node to report whether the call ran.
-const answerGrace = 100 * time.Millisecond
+const (
+	// answerGrace is how long the ingress waits beyond the deadline for the admitting node to report whether the call ran.
+	answerGrace = 100 * time.Millisecond
+	// longAnswerGrace is the same while admission control refuses calls early. Under overload the answer of a node with a
+	// sixth of a core took longer than answerGrace, and calls that had not run ended with an unknown outcome.
+	longAnswerGrace = 500 * time.Millisecond
+)
 
 // readiness reports whether the node may serve calls, and otherwise why not.
 type readiness interface {
@@ -152,8 +157,8 @@
 	}, nil
 }
 
-// inherit gives a nested call the more urgent of its own and its root's rank, the root's account, and at most the root's
-// deadline and objective.
+// inherit gives a nested call the more urgent of its own and its root's rank, the root's account and objective, and at most
+// the root's deadline.
 func (r *admissionRequest) inherit(root rootCall, policy configuration.Policy) {
 	r.nested = true
 	own, _ := policy.Rank(r.rank)
@@ -162,7 +167,8 @@
 	}
 	r.fairCaller, r.rootKind = root.account, root.kind
 	r.deadline = earlierOf(r.deadline, root.deadline)
-	if !root.objective.IsZero() && (r.objective.IsZero() || root.objective.Before(r.objective)) {
+	// A nested call has served its purpose if the root meets its objective.
+	if !root.objective.IsZero() {
 		r.objective = root.objective
 	}
 }
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -236,7 +236,7 @@
 		board: n.board, chooser: route.NewChooser(n.endpointStats, route.WithWarmUp(s.Upstream().WarmUp())),
 		endpointStats: n.endpointStats,
 		budgets:       blackboard.NewShardedMap[budgetKey, *route.Budget](), admitter: n.admitter,
-		peerClient: &peerClient{transport: n.transport, now: n.now}, members: n.members, self: n.members.self, ready: n.bootstrapper,
+		peerClient: &peerClient{transport: n.transport, now: n.now, grace: answerGraceFor(s.Admission())}, members: n.members, self: n.members.self, ready: n.bootstrapper,
 		retryCounters: counters, defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
 		decisions: n.decisionLog, accounts: n.accounts, limits: n.limits, dependencies: n.dependencies, rollouts: n.rollouts,
 	}
--- a/baobabnode/peerclient.go
+++ b/baobabnode/peerclient.go
@@ -17,6 +17,7 @@
 type peerClient struct {
 	transport *peer.Transport
 	now       func() time.Time
+	grace     time.Duration // How long a call waits beyond its deadline for the admitting node to say whether it ran.
 }
 
 // A loadReport is what an answering node reports about itself and its upstream.
@@ -29,7 +30,7 @@
 // attempt sends a call to the node of an endpoint. It calls report with the load that the answer carries.
 func (c *peerClient) attempt(ctx context.Context, r *admissionRequest, to route.Candidate, number int,
 	report func(loadReport)) attemptResult {
-	deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline.Add(answerGrace))
+	deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline.Add(c.grace))
 	stream, err := c.transport.Open(deadlineCtx, to.Address())
 	if err != nil {
 		cancel()
@@ -50,6 +51,9 @@
 func (c *peerClient) roundTrip(s *peer.Stream, r *admissionRequest, number int,
 	report func(loadReport)) attemptResult {
 	if err := c.sendCall(s, r, number); err != nil {
+		if peer.Incomplete(err) {
+			return c.notSentCompletely(r, err)
+		}
 		return c.unknownOutcome(r, err)
 	}
 	reply, err := s.Receive()
@@ -83,6 +87,17 @@
 	return s.SendWithBody(m, r.call.Body())
 }
 
+// notSentCompletely returns the result of an attempt that certainly did not run, because the admitting node admits a call
+// only once it has received the end of its body.
+func (c *peerClient) notSentCompletely(r *admissionRequest, err error) attemptResult {
+	reason := call.ReasonPeerUnreachable
+	if !c.now().Before(r.deadline) {
+		reason = call.ReasonDeadlinePassed
+	}
+	refusal := call.NewRefusal(reason, call.OutcomeNotRun, "the call did not reach the admitting node: "+err.Error())
+	return attemptResult{refusal: refusal, outcome: route.NewRefused(refusal)}
+}
+
 // unknownOutcome returns the result of an attempt that may or may not have run.
 func (c *peerClient) unknownOutcome(r *admissionRequest, err error) attemptResult {
 	reason := call.ReasonAnswerLost
--- a/baobabnode/wiring.go
+++ b/baobabnode/wiring.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
@@ -94,6 +95,14 @@
 	return admission.NewPolicy(ranks, p.QueueLimit(), p.CallerFloorPercent())
 }
 
+// answerGraceFor returns how long the ingress waits beyond the deadline for the admitting node's answer.
+func answerGraceFor(a settings.Admission) time.Duration {
+	if a.ObjectiveOrder() {
+		return longAnswerGrace
+	}
+	return answerGrace
+}
+
 // ignoreShutdownError returns err, or nil if the node is shutting down and the server was closed for that reason.
 func ignoreShutdownError(err error, t *tomb.Tomb) error {
 	if !t.Alive() {
--- a/baobabpeer/stream.go
+++ b/baobabpeer/stream.go
@@ -25,6 +25,7 @@
 )
 
 var (
+	errIncomplete   = errors.New("not sent completely")
 	errReset        = errors.New("stream reset by peer")
 	errFrameOrder   = errors.New("frame out of order")
 	expiredDeadline = time.Unix(1, 0)
@@ -165,7 +166,7 @@
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
 	if s.sendClosed {
-		return s.sendError(yamux.ErrStreamClosed)
+		return fmt.Errorf("%w: %w", errIncomplete, s.sendError(yamux.ErrStreamClosed))
 	}
 	written := 0
 	for written < len(b) {
@@ -173,6 +174,9 @@
 		written += n
 		if err != nil {
 			s.sendClosed = true
+			if endedBeforeWrite(err) {
+				return fmt.Errorf("%w: %w", errIncomplete, s.sendError(err))
+			}
 			return s.sendError(err)
 		}
 	}
@@ -180,6 +184,15 @@
 	return nil
 }
 
+// endedBeforeWrite reports whether a write failed before its bytes were queued for the link. After other errors they may
+// still be sent.
+func endedBeforeWrite(err error) bool {
+	return errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)
+}
+
+// Incomplete reports whether an error of a send means that the peer certainly did not get the end of what was sent.
+func Incomplete(err error) bool { return errors.Is(err, errIncomplete) }
+
 // sendError returns the reason why the stream ended, if there is one, rather than the error of the write.
 func (s *Stream) sendError(err error) error {
 	s.mu.Lock()
