--- a/baobabdependency/ending.go
+++ b/baobabdependency/ending.go
@@ -1,5 +1,7 @@
 package baobabdependency
 
+import call "github.com/baobabdale/baobabdale/baobabcall"
+
 // Ending is how a nested call ended, as far as it shows whether a service has room.
 type Ending int
 
@@ -15,6 +17,33 @@
 // Endings returns all endings.
 func Endings() []Ending { return []Ending{EndingServed, EndingShort, EndingFailed} }
 
+// EndingOf returns how a call ended, by its refusal, or nil for an answered call. Upstreams that refuse calls themselves may
+// do so for any reason, so only refusals of admission control count as a lack of room.
+func EndingOf(refusal *call.Refusal) Ending {
+	switch {
+	case refusal == nil:
+		return EndingServed
+	case LacksRoom(refusal):
+		return EndingShort
+	default:
+		return EndingFailed
+	}
+}
+
+// LacksRoom reports whether admission control refused a call because other calls take the room.
+func LacksRoom(refusal *call.Refusal) bool {
+	if refusal.Outcome() != call.OutcomeNotRun {
+		return false
+	}
+	switch refusal.Reason() {
+	case call.ReasonCallerShare, call.ReasonDeadlinePassed, call.ReasonDeadlineUnmeetable, call.ReasonDependencyShort,
+		call.ReasonNoFreeSlot, call.ReasonQueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // String returns the name of the ending in metrics.
 func (e Ending) String() string {
 	switch e {
--- a/baobabnode/dependencycontroller.go
+++ b/baobabnode/dependencycontroller.go
@@ -8,6 +8,7 @@
 
 	call "github.com/baobabdale/baobabdale/baobabcall"
 	dependency "github.com/baobabdale/baobabdale/baobabdependency"
+	route "github.com/baobabdale/baobabdale/baobabroute"
 	settings "github.com/baobabdale/baobabdale/baobabsettings"
 )
 
@@ -16,6 +17,7 @@
 type dependencyController struct {
 	enabled       bool // Nested calls are related to their roots.
 	rootAdmission bool
+	retryOrder    bool
 	tracker       *dependency.Tracker
 	decisions     *decisionLog
 
@@ -34,7 +36,7 @@
 
 func newDependencyController(s settings.Admission, decisions *decisionLog) *dependencyController {
 	d := &dependencyController{
-		enabled: s.NestedPriority(), rootAdmission: s.RootAdmission(), decisions: decisions, inProgress: map[string]*rootCall{},
+		enabled: s.NestedPriority(), rootAdmission: s.RootAdmission(), retryOrder: s.RetryOrder(), decisions: decisions, inProgress: map[string]*rootCall{},
 	}
 	d.tracker = dependency.NewTracker(d.logChange)
 	return d
@@ -108,34 +110,19 @@
 	if !d.enabled || r.rootKind == "" {
 		return
 	}
-	d.tracker.RecordNested(now, r.rootKind, r.service, endingOf(refusal), took)
+	d.tracker.RecordNested(now, r.rootKind, r.service, dependency.EndingOf(refusal), took)
 }
 
-// endingOf returns how a call ended, by its refusal or nil. Upstreams that refuse calls themselves may do so for any
-// reason, so only refusals of admission control count as a lack of room.
-func endingOf(refusal *call.Refusal) dependency.Ending {
-	switch {
-	case refusal == nil:
-		return dependency.EndingServed
-	case lacksRoom(refusal):
-		return dependency.EndingShort
-	default:
-		return dependency.EndingFailed
+// observeAttempt records in the retry budget of a service whether an attempt found room there.
+func (d *dependencyController) observeAttempt(now time.Time, b *route.Budget, result attemptResult) {
+	if d.retryOrder {
+		b.RecordRoom(now, result.refusal != nil && dependency.LacksRoom(result.refusal))
 	}
 }
 
-// lacksRoom reports whether admission control refused a call because other calls take the room.
-func lacksRoom(refusal *call.Refusal) bool {
-	if refusal.Outcome() != call.OutcomeNotRun {
-		return false
-	}
-	switch refusal.Reason() {
-	case call.ReasonCallerShare, call.ReasonDeadlinePassed, call.ReasonDeadlineUnmeetable, call.ReasonDependencyShort,
-		call.ReasonNoFreeSlot, call.ReasonQueueFull:
-		return true
-	default:
-		return false
-	}
+// leavesBudget reports whether a call leaves a part of the retry budget to more urgent ones.
+func (d *dependencyController) leavesBudget(r *routedCall) bool {
+	return d.retryOrder && !r.request.nested && !r.mostUrgent
 }
 
 // writeMetrics writes the state of each kind of root. Kinds come from calls, and their number is bounded.
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -64,6 +64,7 @@
 	candidates    *route.CandidateSet
 	budget        *route.Budget
 	maxAttempts   int
+	mostUrgent    bool          // No rank of the policy is more urgent.
 	latencyTarget time.Duration // Latency target of the rank; zero means none.
 }
 
@@ -149,6 +150,7 @@
 		request.inherit(root, policy)
 	}
 	return &routedCall{
+		mostUrgent:    isMostUrgent(policy, rank),
 		latencyTarget: rank.LatencyTarget(),
 		request:       request,
 		candidates:    candidates,
@@ -197,6 +199,9 @@
 		// A claim is written before the call asks for a slot, so such a call queues at once.
 		r.request.freeSlotOnly = offer.FreeSlotOnly() && !r.request.needsClaim()
 		result := g.attempt(ctx, r, candidate, number)
+		if !hasNoFreeSlot(result) {
+			g.dependencies.observeAttempt(g.now(), r.budget, result)
+		}
 		if result.answer != nil {
 			return g.logIfLate(r, result.answer, candidate, start, number), nil
 		}
@@ -217,7 +222,7 @@
 		}
 		attempt := route.NewAttempt(upstreamAttempts, r.maxAttempts, r.request.deadline, result.outcome,
 			route.WithDispatches(number), route.WithIdempotent(r.request.idempotent),
-			route.WithRetriedEarlier(r.request.call.Retried()))
+			route.WithRetriedEarlier(r.request.call.Retried()), route.WithLessUrgent(g.dependencies.leavesBudget(r)))
 		switch d := route.DecideRetry(g.now(), attempt, r.budget).(type) {
 		case route.Retry:
 			g.retryCounters.countRetry(d.Reason())
@@ -363,6 +368,16 @@
 	return requested.Name()
 }
 
+// isMostUrgent reports whether no rank of the policy is more urgent.
+func isMostUrgent(policy configuration.Policy, rank configuration.Rank) bool {
+	for _, r := range policy.Ranks() {
+		if r.Priority() < rank.Priority() {
+			return false
+		}
+	}
+	return true
+}
+
 // combineRefusals returns the refusal that holds for both attempts: an earlier one that may have run takes precedence
 // over a later one that did not.
 func combineRefusals(earlier, later *call.Refusal) *call.Refusal {
--- a/baobabroute/attempt.go
+++ b/baobabroute/attempt.go
@@ -10,6 +10,7 @@
 	deadline         time.Time // Zero: no deadline.
 	idempotent       bool
 	retriedEarlier   bool // An earlier hop retries the call itself.
+	lessUrgent       bool // The call leaves a part of the retry budget to more urgent ones.
 	outcome          AttemptOutcome
 }
 
@@ -25,6 +26,9 @@
 // WithDispatches sets the number of attempts so far, including those that a node refused before its upstream saw them.
 func WithDispatches(n int) AttemptOption { return func(a *Attempt) { a.dispatches = n } }
 
+// WithLessUrgent sets whether the call leaves a part of the retry budget to nested calls and to the most urgent rank.
+func WithLessUrgent(v bool) AttemptOption { return func(a *Attempt) { a.lessUrgent = v } }
+
 // NewAttempt returns an attempt with the given outcome. Including it, upstreamAttempts of at most maxAttempts attempts
 // may have reached an upstream.
 func NewAttempt(
--- a/baobabroute/budget.go
+++ b/baobabroute/budget.go
@@ -14,6 +14,13 @@
 	// redispatchPercent is the percentage of calls that may be redispatched. A redispatch costs one message between nodes
 	// and no work at any upstream.
 	redispatchPercent = 200
+	// lessUrgentShare is the share of the retries, in percent, that less urgent calls may use.
+	lessUrgentShare = 50
+	// noRoomPercent is the percentage of attempts refused for lack of room from which further ones are useless, and
+	// minRoomAttempts how many attempts in the current and the last second show it. Any attempt that finds room counts at
+	// once, so calls are retried again as soon as the service accepts a tenth of them.
+	noRoomPercent   = 90
+	minRoomAttempts = 10
 )
 
 // A Budget limits retries to a percentage of the calls of the last 10 s, with a floor for low traffic. Redispatches have
@@ -28,6 +35,8 @@
 	calls         [retryWindowSeconds]int
 	retries       [retryWindowSeconds]int
 	redispatches  [retryWindowSeconds]int
+	attempts      [retryWindowSeconds]int // Attempts of which it is recorded whether they found room.
+	refused       [retryWindowSeconds]int // Of these, attempts refused for lack of room.
 }
 
 // BudgetOption sets an optional property of a Budget.
@@ -55,15 +64,45 @@
 
 // AllowRetry reports whether a retry is allowed, and counts it if so.
 func (b *Budget) AllowRetry(now time.Time) bool {
-	return b.allow(now, &b.retries, b.percent)
+	return b.allow(now, &b.retries, b.percent, 100)
+}
+
+// AllowLessUrgentRetry is like AllowRetry for a call that leaves a part of the budget to more urgent ones.
+func (b *Budget) AllowLessUrgentRetry(now time.Time) bool {
+	return b.allow(now, &b.retries, b.percent, lessUrgentShare)
+}
+
+// RecordRoom records whether an attempt was refused for lack of room.
+func (b *Budget) RecordRoom(now time.Time, refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.attempts[b.currentSecond%retryWindowSeconds]++
+	if refused {
+		b.refused[b.currentSecond%retryWindowSeconds]++
+	}
+}
+
+// NoRoom reports whether nearly all recorded attempts were refused for lack of room.
+func (b *Budget) NoRoom(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	attempts, refused := 0, 0
+	for s := max(b.currentSecond-1, 0); s <= b.currentSecond; s++ {
+		attempts += b.attempts[s%retryWindowSeconds]
+		refused += b.refused[s%retryWindowSeconds]
+	}
+	return attempts >= minRoomAttempts && 100*refused >= noRoomPercent*attempts
 }
 
 // AllowRedispatch reports whether a redispatch is allowed, and counts it if so.
 func (b *Budget) AllowRedispatch(now time.Time) bool {
-	return b.allow(now, &b.redispatches, redispatchPercent)
+	return b.allow(now, &b.redispatches, redispatchPercent, 100)
 }
 
-func (b *Budget) allow(now time.Time, used *[retryWindowSeconds]int, percent int) bool {
+// allow reports whether another use is within a share, in percent, of the budget, and counts it if so.
+func (b *Budget) allow(now time.Time, used *[retryWindowSeconds]int, percent, sharePercent int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -71,7 +110,7 @@
 	for _, n := range used {
 		sum += n
 	}
-	if sum >= max(b.floor, percent*b.recentCalls()/100) {
+	if 100*sum >= sharePercent*max(b.floor, percent*b.recentCalls()/100) {
 		return false
 	}
 	used[b.currentSecond%retryWindowSeconds]++
@@ -97,7 +136,8 @@
 		return
 	}
 	for s := max(b.currentSecond+1, second-retryWindowSeconds+1); s <= second; s++ {
-		b.calls[s%retryWindowSeconds], b.retries[s%retryWindowSeconds], b.redispatches[s%retryWindowSeconds] = 0, 0, 0
+		i := s % retryWindowSeconds
+		b.calls[i], b.retries[i], b.redispatches[i], b.attempts[i], b.refused[i] = 0, 0, 0, 0, 0
 	}
 	b.currentSecond = second
 }
--- a/baobabroute/retry.go
+++ b/baobabroute/retry.go
@@ -41,6 +41,7 @@
 	StopCrash          StopReason = "crash" // The call may have crashed the upstream.
 	StopDeadline       StopReason = "deadline"
 	StopMaxAttempts    StopReason = "max_attempts"
+	StopNoRoom         StopReason = "no_room" // Nearly all attempts at the service are refused for lack of room.
 	StopRetriedEarlier StopReason = "retried_earlier"
 	StopUnsafe         StopReason = "unsafe"  // May have run and is not idempotent.
 	StopUseless        StopReason = "useless" // Another endpoint would refuse as well, or must not be tried.
@@ -49,7 +50,7 @@
 // StopReasons returns all stop reasons, sorted.
 func StopReasons() []StopReason {
 	return []StopReason{
-		StopAbandoned, StopAnswered, StopBudget, StopCrash, StopDeadline, StopMaxAttempts, StopRetriedEarlier, StopUnsafe,
+		StopAbandoned, StopAnswered, StopBudget, StopCrash, StopDeadline, StopMaxAttempts, StopNoRoom, StopRetriedEarlier, StopUnsafe,
 		StopUseless,
 	}
 }
@@ -90,6 +91,9 @@
 	if !a.deadline.IsZero() && now.Add(minRemaining).After(a.deadline) {
 		return Stop{StopDeadline}
 	}
+	if b.NoRoom(now) {
+		return Stop{StopNoRoom}
+	}
 	if !a.allowedBy(now, b) {
 		return Stop{StopBudget}
 	}
@@ -99,6 +103,9 @@
 // allowedBy reports whether the budget allows another attempt, and counts it if so. It counts as a retry if this attempt
 // may have reached an upstream, and else as a redispatch, whose percentage is higher.
 func (a Attempt) allowedBy(now time.Time, b *Budget) bool {
+	if a.MayHaveReachedUpstream() && a.lessUrgent {
+		return b.AllowLessUrgentRetry(now)
+	}
 	if a.MayHaveReachedUpstream() {
 		return b.AllowRetry(now)
 	}
--- a/baobabroute/retry_test.go
+++ b/baobabroute/retry_test.go
@@ -87,6 +87,44 @@
 	}
 }
 
+// TestScarceRetries guards against less urgent calls that use up the retry budget, and against retries at a service
+// without room, or after it has room again.
+func TestScarceRetries(t *testing.T) {
+	later := start.Add(time.Hour)
+	lost := func(lessUrgent bool) Attempt {
+		return NewAttempt(1, 3, later, NewLost(false), WithIdempotent(true), WithLessUrgent(lessUrgent))
+	}
+	b := NewBudget(20)
+	for range 100 {
+		b.RecordCall(start)
+	}
+	retries := map[bool]int{}
+	for _, lessUrgent := range []bool{true, false} {
+		for DecideRetry(start, lost(lessUrgent), b) == (Retry{RetryLost}) {
+			retries[lessUrgent]++
+		}
+	}
+	if retries[true] != 10 || retries[false] != 10 {
+		t.Errorf("%d less urgent retries, then %d others; want 10 each", retries[true], retries[false])
+	}
+	b = NewBudget(20)
+	for i := range 2 * minRoomAttempts {
+		b.RecordRoom(start, i > 0)
+	}
+	if got := DecideRetry(start, lost(false), b); got != (Stop{StopNoRoom}) {
+		t.Errorf("no room: %+v", got)
+	}
+	for range minRoomAttempts {
+		b.RecordRoom(start, false)
+	}
+	if got := DecideRetry(start, lost(false), b); got != (Retry{RetryLost}) {
+		t.Errorf("room again: %+v", got)
+	}
+	if b.NoRoom(start.Add(2 * time.Second)) {
+		t.Error("refusals of two seconds ago count")
+	}
+}
+
 func drawOutcome(t *rapid.T) AttemptOutcome {
 	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
--- a/baobabsettings/admission.go
+++ b/baobabsettings/admission.go
@@ -5,12 +5,14 @@
 	nestedPriority bool
 	objectiveOrder bool
 	rootAdmission  bool
+	retryOrder     bool
 }
 
 func readAdmission(r *reader) Admission {
 	a := Admission{
 		nestedPriority: r.choice("admission", "nested_priority", "off", "on", "off") == "on",
 		objectiveOrder: r.choice("admission", "objective_order", "off", "on", "off") == "on",
+		retryOrder:     r.choice("admission", "retry_order", "off", "on", "off") == "on",
 		rootAdmission:  r.choice("admission", "root_admission", "off", "on", "off") == "on",
 	}
 	if a.rootAdmission && !a.nestedPriority {
@@ -27,5 +29,9 @@
 // would miss it because of the queue are refused.
 func (a Admission) ObjectiveOrder() bool { return a.objectiveOrder }
 
+// RetryOrder reports whether nested calls and the most urgent rank get a part of the retry budget of their own, and calls
+// are not retried at a service that refuses nearly all of them for lack of room.
+func (a Admission) RetryOrder() bool { return a.retryOrder }
+
 // RootAdmission reports whether calls are refused whose nested calls could not be served for lack of room.
 func (a Admission) RootAdmission() bool { return a.rootAdmission }
