--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -15,8 +15,13 @@
 	route "github.com/baobabdale/baobabdale/baobabroute"
 )
 
-// answerGrace is how long the ingress waits beyond the deadline for the admitting node to report whether the call ran.
-const answerGrace = 100 * time.Millisecond
+const (
+	// answerGrace is how long the ingress waits beyond the deadline for the admitting node to report whether the call ran.
+	answerGrace = 100 * time.Millisecond
+	// longAnswerGrace is the same while admission control refuses calls early. Under overload the answer of a node with a
+	// sixth of a core took longer than answerGrace, and calls that had not run ended with an unknown outcome.
+	longAnswerGrace = 500 * time.Millisecond
+)
 
 // readiness reports whether the node may serve calls, and otherwise why not.
 type readiness interface {
@@ -59,6 +64,7 @@
 	candidates    *route.CandidateSet
 	budget        *route.Budget
 	maxAttempts   int
+	mostUrgent    bool          // No rank of the policy is more urgent.
 	latencyTarget time.Duration // Latency target of the rank; zero means none.
 }
 
@@ -144,6 +150,7 @@
 		request.inherit(root, policy)
 	}
 	return &routedCall{
+		mostUrgent:    isMostUrgent(policy, rank),
 		latencyTarget: rank.LatencyTarget(),
 		request:       request,
 		candidates:    candidates,
@@ -152,8 +159,8 @@
 	}, nil
 }
 
-// inherit gives a nested call the more urgent of its own and its root's rank, the root's account, and at most the root's
-// deadline and objective.
+// inherit gives a nested call the more urgent of its own and its root's rank, the root's account and objective, and at most
+// the root's deadline.
 func (r *admissionRequest) inherit(root rootCall, policy configuration.Policy) {
 	r.nested = true
 	own, _ := policy.Rank(r.rank)
@@ -162,7 +169,8 @@
 	}
 	r.fairCaller, r.rootKind = root.account, root.kind
 	r.deadline = earlierOf(r.deadline, root.deadline)
-	if !root.objective.IsZero() && (r.objective.IsZero() || root.objective.Before(r.objective)) {
+	// A nested call has served its purpose if the root meets its objective.
+	if !root.objective.IsZero() {
 		r.objective = root.objective
 	}
 }
@@ -194,6 +202,9 @@
 		// A claim is written before the call asks for a slot, so such a call queues at once.
 		r.request.freeSlotOnly = offer.FreeSlotOnly() && !r.request.needsClaim()
 		result := g.attempt(ctx, r, candidate, number)
+		if !hasNoFreeSlot(result) {
+			g.dependencies.observeAttempt(g.now(), r.budget, result)
+		}
 		if result.answer != nil {
 			return g.logIfLate(r, result.answer, candidate, start, number), nil
 		}
@@ -214,7 +225,7 @@
 		}
 		attempt := route.NewAttempt(upstreamAttempts, r.maxAttempts, r.request.deadline, result.outcome,
 			route.WithDispatches(number), route.WithIdempotent(r.request.idempotent),
-			route.WithRetriedEarlier(r.request.call.Retried()))
+			route.WithRetriedEarlier(r.request.call.Retried()), route.WithLessUrgent(g.dependencies.leavesBudget(r)))
 		switch d := route.DecideRetry(g.now(), attempt, r.budget).(type) {
 		case route.Retry:
 			g.retryCounters.countRetry(d.Reason())
@@ -360,6 +371,16 @@
 	return requested.Name()
 }
 
+// isMostUrgent reports whether no rank of the policy is more urgent.
+func isMostUrgent(policy configuration.Policy, rank configuration.Rank) bool {
+	for _, r := range policy.Ranks() {
+		if r.Priority() < rank.Priority() {
+			return false
+		}
+	}
+	return true
+}
+
 // combineRefusals returns the refusal that holds for both attempts: an earlier one that may have run takes precedence
 // over a later one that did not.
 func combineRefusals(earlier, later *call.Refusal) *call.Refusal {
--- a/baobabnode/peerclient.go
+++ b/baobabnode/peerclient.go
@@ -18,6 +18,7 @@
 	transport *peer.Transport
 	bodies    *bodySender // Nil: bodies are sent with their calls.
 	now       func() time.Time
+	grace     time.Duration // How long a call waits beyond its deadline for the admitting node to say whether it ran.
 }
 
 // A loadReport is what an answering node reports about itself and its upstream.
@@ -33,7 +34,7 @@
 	if refusal := c.bodies.refuse(r); refusal != nil {
 		return attemptResult{refusal: refusal, outcome: route.NewRefused(refusal)}
 	}
-	deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline.Add(answerGrace))
+	deadlineCtx, cancel := context.WithDeadline(ctx, r.deadline.Add(c.grace))
 	stream, err := c.transport.Open(deadlineCtx, to.Address())
 	if err != nil {
 		cancel()
@@ -57,6 +58,10 @@
 	if err != nil && !sent {
 		return notSentResult(err)
 	}
+	if peer.Incomplete(err) {
+		return c.notSentCompletely(r, err)
+	}
+	}
 	if err != nil {
 		return c.unknownOutcome(r, err)
 	}
@@ -100,6 +105,17 @@
 	return reply, true, err
 }
 
+// notSentCompletely returns the result of an attempt that certainly did not run, because the admitting node admits a call
+// only once it has received the end of its body.
+func (c *peerClient) notSentCompletely(r *admissionRequest, err error) attemptResult {
+	reason := call.ReasonPeerUnreachable
+	if !c.now().Before(r.deadline) {
+		reason = call.ReasonDeadlinePassed
+	}
+	refusal := call.NewRefusal(reason, call.OutcomeNotRun, "the call did not reach the admitting node: "+err.Error())
+	return attemptResult{refusal: refusal, outcome: route.NewRefused(refusal)}
+}
+
 // unknownOutcome returns the result of an attempt that may or may not have run.
 func (c *peerClient) unknownOutcome(r *admissionRequest, err error) attemptResult {
 	reason := call.ReasonAnswerLost
