--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -39,6 +39,7 @@
 	self           string
 	ready          readiness
 	retryCounters  *retryCounters
+	crossings      *crossingCounters
 	defaultTimeout time.Duration
 	maxTimeout     time.Duration
 	now            func() time.Time
@@ -174,10 +175,7 @@
 	r.budget.RecordCall(g.now())
 	start := g.now()
 	r.candidates, r.request.version = g.rollouts.candidates(start, random, r.candidates)
-	plan := g.chooser.NewOfferPlan(random, r.candidates)
-	if g.peerClient.needsGrant(r.request) && !r.request.needsClaim() {
-		plan.AskFirst(g.self)
-	}
+	plan := g.newPlan(random, r)
 	var lastRefusal *call.Refusal
 	upstreamAttempts := 0 // Attempts that may have reached an upstream.
 	lastEndpoint := ""
@@ -191,6 +189,7 @@
 		}
 		candidate := offer.Candidate()
 		lastEndpoint = candidate.ID()
+		g.crossings.count(plan.Crossing(offer))
 		// A claim is written before the call asks for a slot, so such a call queues at once.
 		r.request.freeSlotOnly = offer.FreeSlotOnly() && !r.request.needsClaim()
 		result := g.attempt(ctx, r, candidate, number)
@@ -203,7 +202,7 @@
 			number--
 			continue
 		}
-		plan.RecordFailure(offer)
+		plan.RecordFailure(offer, result.outcome)
 		lastRefusal = combineRefusals(lastRefusal, result.refusal)
 		if ctx.Err() != nil {
 			// The caller is gone, so the failure does not charge the retry budget.
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -228,7 +228,7 @@
 		bodyMemory: call.NewBodyMemory(s.Limits().BodyMemory().Bytes()), now: n.now, logger: n.logger,
 	}
 	ingress := &Ingress{
-		board: n.board, chooser: route.NewChooser(n.endpointStats, route.WithWarmUp(s.Upstream().WarmUp())),
+		board: n.board, chooser: newChooser(n.endpointStats, s), crossings: newCrossingCounters(n.metrics),
 		endpointStats: n.endpointStats,
 		budgets:       blackboard.NewShardedMap[budgetKey, *route.Budget](), admitter: n.admitter,
 		peerClient: &peerClient{transport: n.transport, bodies: newBodySender(transfers, n.now), now: n.now}, members: n.members, self: n.members.self, ready: n.bootstrapper,
--- /dev/null
+++ b/baobabnode/offerplans.go
@@ -0,0 +1,25 @@
+package baobabnode
+
+import (
+	"math/rand/v2"
+
+	route "github.com/baobabdale/baobabdale/baobabroute"
+	settings "github.com/baobabdale/baobabdale/baobabsettings"
+)
+
+// newChooser returns the chooser of a node with the given settings.
+func newChooser(stats *route.EndpointStats, s *settings.Settings) *route.Chooser {
+	b := s.Balance()
+	return route.NewChooser(stats, route.WithWarmUp(s.Upstream().WarmUp()),
+		route.WithDistances(route.NewDistances(b.LeaveDomainSaving(), b.LeaveRegionSaving())))
+}
+
+// newPlan returns the plan of a call.
+func (g *Ingress) newPlan(random *rand.Rand, r *routedCall) *route.OfferPlan {
+	plan := g.chooser.NewOfferPlan(random, r.candidates)
+	plan.SetObjective(r.request.objective)
+	if g.peerClient.needsGrant(r.request) && !r.request.needsClaim() {
+		plan.AskFirst(g.self)
+	}
+	return plan
+}
--- a/baobabroute/candidateset.go
+++ b/baobabroute/candidateset.go
@@ -14,6 +14,8 @@
 // it when membership changes, not per call.
 type CandidateSet struct {
 	service    string
+	domain     string      // Failure domain of the choosing node.
+	region     string      // Region of the choosing node.
 	candidates []Candidate // Sorted by id, without duplicates.
 	indexByID  map[string]int
 	tiers      [tierCount][]int // Indexes into candidates.
@@ -22,7 +24,7 @@
 // NewCandidateSet returns the set of a service's endpoints as seen from a node in the given failure domain and region.
 // Of candidates with the same id, one is kept.
 func NewCandidateSet(service, failureDomain, region string, candidates []Candidate) *CandidateSet {
-	s := &CandidateSet{service: service, candidates: slices.Clone(candidates), indexByID: make(map[string]int, len(candidates))}
+	s := &CandidateSet{service: service, domain: failureDomain, region: region, candidates: slices.Clone(candidates), indexByID: make(map[string]int, len(candidates))}
 	slices.SortFunc(s.candidates, func(a, b Candidate) int {
 		if a.id < b.id {
 			return -1
@@ -35,18 +37,24 @@
 	s.candidates = slices.CompactFunc(s.candidates, func(a, b Candidate) bool { return a.id == b.id })
 	for i, c := range s.candidates {
 		s.indexByID[c.id] = i
-		t := tierOther
-		switch {
-		case c.failureDomain == failureDomain:
-			t = tierSameDomain
-		case c.region == region:
-			t = tierSameRegion
-		}
+		t := s.tierOf(c)
 		s.tiers[t] = append(s.tiers[t], i)
 	}
 	return s
 }
 
+// tierOf returns the tier of a candidate.
+func (s *CandidateSet) tierOf(c Candidate) int {
+	switch {
+	case c.failureDomain == s.domain:
+		return tierSameDomain
+	case c.region == s.region:
+		return tierSameRegion
+	default:
+		return tierOther
+	}
+}
+
 // Service returns the name of the service.
 func (s *CandidateSet) Service() string { return s.service }
 
--- a/baobabroute/chooser.go
+++ b/baobabroute/chooser.go
@@ -18,6 +18,8 @@
 	defaultMaxUtilization = 2.0
 	// outlierFactor is the multiple of the other endpoints' mean failure rate from which an endpoint is an outlier.
 	outlierFactor = 2
+	// maxRate is the rate relative to the mean of the service above which endpoints are drawn alike.
+	maxRate = 1.6
 	// maxRandomDraws is the number of random draws before the endpoints are scanned in order.
 	maxRandomDraws = 4
 )
@@ -30,6 +32,8 @@
 	warmUp         time.Duration
 	maxQueueWait   time.Duration // Reported queue wait above which an endpoint is overloaded.
 	maxUtilization float64       // Calls as a multiple of the limit above which an endpoint is overloaded.
+	rates          bool          // Draw and compare endpoints by the rates that they report.
+	distances      Distances     // Zero: a call leaves its failure domain while that is overloaded.
 }
 
 // ChooserOption sets an optional property of a Chooser.
@@ -44,6 +48,12 @@
 	return func(c *Chooser) { c.maxQueueWait, c.maxUtilization = queueWait, utilization }
 }
 
+// WithDistances limits how calls leave their failure domain and region.
+func WithDistances(d Distances) ChooserOption { return func(c *Chooser) { c.distances = d } }
+
+// WithRates makes the chooser draw endpoints in proportion to the rates that they report and compare them by these.
+func WithRates() ChooserOption { return func(c *Chooser) { c.rates = true } }
+
 // NewChooser returns a chooser that reads and updates stats.
 func NewChooser(stats *EndpointStats, options ...ChooserOption) *Chooser {
 	c := &Chooser{
@@ -93,6 +103,7 @@
 	index           int // In set.candidates.
 	candidate       Candidate
 	expectedLatency time.Duration
+	timeFactor      float64 // Service time relative to the mean of the service; zero: unknown.
 	overloaded      bool
 }
 
@@ -179,7 +190,7 @@
 		return scoredCandidate{}, false
 	}
 	for range maxRandomDraws {
-		if c, ok := h.score(tier[h.random.IntN(len(tier))], skip); ok {
+		if c, ok := h.score(tier[h.random.IntN(len(tier))], skip); ok && (!h.rates || h.acceptRate(c)) {
 			return c, true
 		}
 	}
@@ -192,6 +203,11 @@
 	return scoredCandidate{}, false
 }
 
+// acceptRate accepts a drawn endpoint with a probability in proportion to its rate.
+func (h choice) acceptRate(c scoredCandidate) bool {
+	return c.timeFactor == 0 || h.random.Float64()*maxRate < 1/c.timeFactor
+}
+
 // score evaluates the endpoint at index i. It returns false if the endpoint is unusable or i equals skip.
 func (h choice) score(i, skip int) (scoredCandidate, bool) {
 	candidate := h.set.candidates[i]
@@ -205,10 +221,15 @@
 	if snapshot.draining || (snapshot.coolingDown && !h.allowCoolingDown) || h.ejections.Ejected(h.now, h.set, candidate.id) {
 		return scoredCandidate{}, false
 	}
+	expected := snapshot.expectedLatency(candidate.slots)
+	if h.rates {
+		expected = snapshot.expectedLatencyByRate(candidate.slots)
+	}
 	return scoredCandidate{
 		index:           i,
 		candidate:       candidate,
-		expectedLatency: snapshot.expectedLatency(candidate.slots),
+		timeFactor:      snapshot.timeFactor,
+		expectedLatency: expected,
 		overloaded: snapshot.queueWait > h.maxQueueWait || snapshot.utilization(candidate.slots) > h.maxUtilization ||
 			snapshot.degraded(),
 	}, true
--- /dev/null
+++ b/baobabroute/distanceplan.go
@@ -0,0 +1,128 @@
+package baobabroute
+
+import (
+	"time"
+
+	call "github.com/baobabdale/baobabdale/baobabcall"
+)
+
+// slowServicePercent is the service time of a slow call as a percentage of the mean. A call counts as in time if it meets
+// its objective with it.
+const slowServicePercent = 125
+
+// maxQueueRefusals is the number of queues that may refuse a call for lack of room. With 5 in a simulation at full load, a
+// call took 5.6 messages in place of 4.6, and 0.6% more calls were answered in the target.
+const maxQueueRefusals = 3
+
+// nextByDistance returns the next offer where leaving the failure domain is limited. Free slots are asked for in the own
+// failure domain, then once in each farther tier that is worth its distance. The call then queues, as near as possible.
+func (p *OfferPlan) nextByDistance(h choice) (Offer, *call.Refusal) {
+	near := p.nearestTier(h)
+	if near == tierCount {
+		h.allowCoolingDown = true
+		if near = p.nearestTier(h); near == tierCount {
+			return Offer{}, call.NewRefusal(call.ReasonNoUpstream, call.OutcomeNotRun, "no usable endpoint of service "+p.set.service)
+		}
+	}
+	if o, ok := p.nearOffer(h, near); ok {
+		return o, nil
+	}
+	wait, service := p.expectation(h, near)
+	for tier := near + 1; tier < tierCount; tier++ {
+		if o, ok := p.fartherOffer(h, tier, wait, service); ok {
+			return o, nil
+		}
+	}
+	if p.refusals >= maxQueueRefusals {
+		return Offer{}, call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, "the queues of several endpoints are full")
+	}
+	return p.queue(p.queueByDistance(h, near)), nil
+}
+
+// nearestTier returns the nearest tier with a usable endpoint at which the call has not failed, or tierCount.
+func (p *OfferPlan) nearestTier(h choice) int {
+	h.excluded = p.isTried
+	for tier, indexes := range p.set.tiers {
+		if _, ok := h.betterOfTwo(indexes); ok {
+			return tier
+		}
+	}
+	return tierCount
+}
+
+// nearOffer returns an offer of a free slot in the nearest tier while that is not overloaded.
+func (p *OfferPlan) nearOffer(h choice, near int) (Offer, bool) {
+	indexes := p.set.tiers[near]
+	if len(p.tried) > 0 || len(indexes) < 2 || p.nearOffers >= maxNearOffers || p.nearOverloaded(h, indexes) {
+		return Offer{}, false
+	}
+	s, ok := h.betterOfTwo(indexes)
+	if !ok || s.overloaded {
+		return Offer{}, false
+	}
+	p.nearOffers++
+	return Offer{candidate: s.candidate, freeSlotOnly: true}, true
+}
+
+// expectation returns the time that the call is expected to wait and to run where it would queue. The wait has no bound
+// after a queue of the tier refused the call.
+func (p *OfferPlan) expectation(h choice, near int) (wait, service time.Duration) {
+	h.excluded = p.isTried
+	s, ok := h.betterOfTwo(p.askedOf(p.set.tiers[near]))
+	if !ok {
+		s, ok = h.betterOfTwo(p.set.tiers[near])
+	}
+	if !ok {
+		return 0, 0
+	}
+	snapshot := p.chooser.stats.Snapshot(h.now, s.candidate.id)
+	if p.refused || snapshot.degraded() {
+		return maxWait, snapshot.expectedService()
+	}
+	return snapshot.expectedWait(s.candidate.slots), snapshot.expectedService()
+}
+
+// fartherOffer returns an offer of a free slot in a farther tier, once, if the call is expected to miss its objective
+// where it would queue, to meet it there, and to save the distance. Without an objective the saved wait alone decides.
+func (p *OfferPlan) fartherOffer(h choice, tier int, wait, service time.Duration) (Offer, bool) {
+	distance := p.chooser.distances.to(tier)
+	if p.askedTiers[tier] || wait <= distance {
+		return Offer{}, false
+	}
+	slow := service * slowServicePercent / 100
+	if !p.objective.IsZero() && wait < maxWait && !h.now.Add(wait+slow).After(p.objective) {
+		return Offer{}, false
+	}
+	if !p.objective.IsZero() && h.now.Add(service).After(p.objective) {
+		return Offer{}, false
+	}
+	h.excluded = p.isUsed
+	s, ok := h.betterOfTwo(p.set.tiers[tier])
+	if !ok || s.overloaded {
+		return Offer{}, false
+	}
+	p.askedTiers[tier] = true
+	return Offer{candidate: s.candidate, freeSlotOnly: true}, true
+}
+
+// queueByDistance returns the endpoint at which the call queues: of the nearest tier, or of the next one in the region
+// while only the nearest fails or refuses calls.
+func (p *OfferPlan) queueByDistance(h choice, near int) Candidate {
+	h.excluded = p.isTried
+	indexes := p.set.tiers[near]
+	best, ok := h.betterOfTwo(p.askedOf(indexes))
+	if !ok || p.degraded(h.now, best) {
+		best, _ = h.betterOfTwo(indexes)
+	}
+	if near != tierSameDomain || !p.degraded(h.now, best) {
+		return best.candidate
+	}
+	if s, ok := h.betterOfTwo(p.set.tiers[tierSameRegion]); ok && !p.degraded(h.now, s) {
+		return s.candidate
+	}
+	return best.candidate
+}
+
+func (p *OfferPlan) degraded(now time.Time, s scoredCandidate) bool {
+	return p.chooser.stats.Snapshot(now, s.candidate.id).degraded()
+}
--- a/baobabroute/endpointsnapshot.go
+++ b/baobabroute/endpointsnapshot.go
@@ -28,7 +28,9 @@
 	failureRate         float64       // Moving average, from 0 to 1; decays with time.
 	refusalRate         float64       // Moving average, from 0 to 1; decays with time.
 	consecutiveFailures int
-	completed           int // Calls that ended with success or failure.
+	completed           int           // Calls that ended with success or failure.
+	timeFactor          float64       // Service time relative to the mean of the service; zero: unknown.
+	service             time.Duration // Mean of the service; zero: unknown.
 	draining            bool
 	coolingDown         bool // The last connection failed a short time ago.
 }
@@ -66,9 +68,48 @@
 	return max(s.reportedCalls, float64(s.inFlight)) / float64(limit)
 }
 
+// maxWait is the expected wait at endpoints that refuse calls.
+const maxWait = time.Hour
+
+// expectedService returns how long a call is expected to run.
+func (s EndpointSnapshot) expectedService() time.Duration {
+	if s.service > 0 {
+		return time.Duration(s.timeFactor * float64(s.service))
+	}
+	if s.latency == 0 {
+		return assumedLatency
+	}
+	// Latency includes the wait, which is reported separately. At least half of it counts as service, because the reported
+	// wait is that of other nodes' calls as well.
+	return max(s.latency-s.queueWait, s.latency/2)
+}
+
+// expectedWait returns how long a call is expected to wait for a slot: the reported wait of recent calls, or the time in
+// which the calls beyond the limit and one more get a slot, whichever is longer.
+func (s EndpointSnapshot) expectedWait(slots int) time.Duration {
+	limit := s.limit
+	if limit == 0 {
+		limit = max(slots, 1)
+	}
+	ahead := max(s.reportedCalls, float64(s.inFlight)) + 1 - float64(limit)
+	return max(s.queueWait, time.Duration(max(ahead, 0)/float64(limit)*float64(s.expectedService())))
+}
+
 // expectedLatency returns the expected latency of one more call, including a penalty for failures and refusals.
 func (s EndpointSnapshot) expectedLatency(slots int) time.Duration {
-	latency := s.latency
+	return s.expectedLatencyFrom(s.latency, slots)
+}
+
+// expectedLatencyByRate is like expectedLatency, with the reported service time in place of the own calls' latency if it
+// is known. An entry that makes few calls to each endpoint learns little from their latency.
+func (s EndpointSnapshot) expectedLatencyByRate(slots int) time.Duration {
+	if s.service > 0 {
+		return s.expectedLatencyFrom(s.expectedService(), slots)
+	}
+	return s.expectedLatencyFrom(s.latency, slots)
+}
+
+func (s EndpointSnapshot) expectedLatencyFrom(latency time.Duration, slots int) time.Duration {
 	if latency == 0 {
 		latency = assumedLatency
 	}
--- a/baobabroute/endpointstats.go
+++ b/baobabroute/endpointstats.go
@@ -33,6 +33,7 @@
 type EndpointStats struct {
 	retention time.Duration
 	shards    [statsShardCount]statsShard
+	services  serviceTimes
 }
 
 type statsShard struct {
@@ -57,6 +58,7 @@
 	cooldownUntil       time.Time // End of the cooldown after the last failed connection.
 	unansweredSince     time.Time // Last end of a call, or start of the first call since; valid while calls are in flight.
 	lastUsedAt          time.Time
+	rate                endpointRate
 }
 
 // EndpointStatsOption sets an optional property of EndpointStats.
@@ -122,8 +124,10 @@
 
 // RecordLoad records the load that came with an answer or refusal.
 func (s *EndpointStats) RecordLoad(now time.Time, id string, l Load) {
+	mean := s.services.observe(l)
 	s.update(now, id, func(e *statsEntry) {
 		e.load, e.loadAt, e.startedSinceReport = l, now, 0
+		e.rate.observe(now, l, mean)
 	})
 }
 
@@ -237,6 +241,9 @@
 		f := decayFactor(now.Sub(e.ratesAt), rateDecayTime)
 		s.failureRate, s.refusalRate = e.failureRate*f, e.refusalRate*f
 	}
+	if e.rate.known() {
+		s.timeFactor, s.service = e.rate.factor(now), e.rate.service
+	}
 	if !e.loadAt.IsZero() {
 		f := decayFactor(now.Sub(e.loadAt), loadDecayTime)
 		s.reportedCalls = float64(e.load.inFlight+e.load.queued)*f + float64(e.startedSinceReport)
--- a/baobabroute/offerplan.go
+++ b/baobabroute/offerplan.go
@@ -33,6 +33,12 @@
 	nearOffers, otherOffers int // Offers of a free slot so far.
 
 	first string // Endpoint that is asked first for a free slot; empty: none.
+
+	objective  time.Time       // When the latency target of the call passes; zero: none.
+	refused    bool            // The queue of an endpoint refused the call.
+	refusals   int             // Queues that refused the call.
+	failed     bool            // An attempt failed or was lost.
+	askedTiers [tierCount]bool // Farther tiers that were asked for a free slot.
 }
 
 // NewOfferPlan returns the plan of one call.
@@ -44,6 +50,10 @@
 // is not sent over the network if the endpoint is on the own node.
 func (p *OfferPlan) AskFirst(id string) { p.first = id }
 
+// SetObjective sets when the latency target of the call passes. Where leaving the failure domain is limited, the call
+// leaves only if it would otherwise miss its objective.
+func (p *OfferPlan) SetObjective(t time.Time) { p.objective = t }
+
 // An Offer is the next endpoint of a call.
 type Offer struct {
 	candidate    Candidate
@@ -58,6 +68,13 @@
 
 // Next returns the next offer, or a refusal when no endpoint is left.
 func (p *OfferPlan) Next(now time.Time) (Offer, *call.Refusal) {
+	if !p.chooser.distances.isZero() {
+		h := choice{Chooser: p.chooser, now: now, random: p.random, set: p.set, excluded: p.isUsed, weightThreshold: p.random.Float64()}
+		if o, ok := p.nextFirst(h); ok {
+			return o, nil
+		}
+		return p.nextByDistance(h)
+	}
 	if len(p.tried) > 0 {
 		// The queue of an endpoint refused the call or could not be reached: any other may take it.
 		c, refusal := p.chooser.Choose(now, p.random, p.set, p.isTried)
@@ -113,7 +130,7 @@
 // better of two near ones, and a farther one only if these fail or refuse calls. That a farther one is not known to be
 // loaded says little, because its last report is old.
 func (p *OfferPlan) chooseQueue(h choice, near []int) (Candidate, *call.Refusal) {
-	asked := slices.DeleteFunc(slices.Clone(near), func(i int) bool { return !p.isBusy(p.set.candidates[i].id) })
+	asked := p.askedOf(near)
 	h.excluded = nil
 	for _, tier := range [][]int{asked, near} {
 		if s, ok := h.betterOfTwo(tier); ok && !p.chooser.stats.Snapshot(h.now, s.candidate.id).degraded() {
@@ -123,6 +140,11 @@
 	return p.chooser.Choose(h.now, p.random, p.set, nil)
 }
 
+// askedOf returns the indexes of the endpoints that had no free slot.
+func (p *OfferPlan) askedOf(indexes []int) []int {
+	return slices.DeleteFunc(slices.Clone(indexes), func(i int) bool { return !p.isBusy(p.set.candidates[i].id) })
+}
+
 // queue returns an offer of a place in the queue.
 func (p *OfferPlan) queue(c Candidate) Offer {
 	p.tried = append(p.tried, c.id)
@@ -132,13 +154,36 @@
 // RecordBusy records that an endpoint had no free slot for the call.
 func (p *OfferPlan) RecordBusy(o Offer) { p.busy = append(p.busy, o.candidate.id) }
 
-// RecordFailure records that an offer of a free slot ended for another reason, so that the endpoint is not used again.
-func (p *OfferPlan) RecordFailure(o Offer) {
+// RecordFailure records that an attempt at an endpoint ended without an answer and for another reason than a missing
+// free slot, so that the endpoint is not used again.
+func (p *OfferPlan) RecordFailure(o Offer, outcome AttemptOutcome) {
+	if refusedForLoad(outcome) {
+		p.refused = true
+		p.refusals++
+	} else {
+		p.failed = true
+	}
 	if o.freeSlotOnly {
 		p.tried = append(p.tried, o.candidate.id)
 	}
 }
 
+// refusedForLoad reports whether an attempt ended because its endpoint has too many calls.
+func refusedForLoad(outcome AttemptOutcome) bool {
+	r, ok := outcome.(Refused)
+	if !ok || r.refusal.Outcome() != call.OutcomeNotRun {
+		return false
+	}
+	switch r.refusal.Reason() {
+	case call.ReasonCallerShare, call.ReasonDeadlineUnmeetable, call.ReasonQueueFull, call.ReasonUpstreamShed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *OfferPlan) isTried(id string) bool { return slices.Contains(p.tried, id) }
 
 func (p *OfferPlan) isBusy(id string) bool { return slices.Contains(p.busy, id) }
+
+func (p *OfferPlan) isUsed(id string) bool { return p.isBusy(id) || p.isTried(id) }
