--- a/baobabroute/candidate.go
+++ b/baobabroute/candidate.go
@@ -40,7 +40,7 @@
 
 // weight returns the fraction of choices in which the candidate takes part. It rises linearly from minWeight to 1 during
 // the warm-up.
-func (c Candidate) weight(now time.Time, warmUp time.Duration) float64 {
+func (c *Candidate) weight(now time.Time, warmUp time.Duration) float64 {
 	if c.warmingSince.IsZero() {
 		return 1
 	}
--- a/baobabroute/chooser.go
+++ b/baobabroute/chooser.go
@@ -101,7 +101,7 @@
 // scoredCandidate is a candidate with its expected latency and overload state at the time of the choice.
 type scoredCandidate struct {
 	index           int // In set.candidates.
-	candidate       Candidate
+	candidate       *Candidate
 	expectedLatency time.Duration
 	timeFactor      float64 // Service time relative to the mean of the service; zero: unknown.
 	overloaded      bool
@@ -150,13 +150,16 @@
 			continue
 		}
 		if !c.overloaded {
-			return c.candidate, true
+			return *c.candidate, true
 		}
 		if !found || c.expectedLatency < best.expectedLatency {
 			best, found = c, true
 		}
 	}
-	return best.candidate, found
+	if !found {
+		return Candidate{}, false
+	}
+	return *best.candidate, true
 }
 
 // betterOfTwo draws two random endpoints of a tier and returns the better one. Endpoints in slow start below the weight
@@ -210,7 +213,7 @@
 
 // score evaluates the endpoint at index i. It returns false if the endpoint is unusable or i equals skip.
 func (h choice) score(i, skip int) (scoredCandidate, bool) {
-	candidate := h.set.candidates[i]
+	candidate := &h.set.candidates[i]
 	if i == skip || candidate.weight(h.now, h.warmUp) < h.weightThreshold {
 		return scoredCandidate{}, false
 	}
--- a/baobabroute/distanceplan.go
+++ b/baobabroute/distanceplan.go
@@ -61,7 +61,7 @@
 		return Offer{}, false
 	}
 	p.nearOffers++
-	return Offer{candidate: s.candidate, freeSlotOnly: true}, true
+	return Offer{candidate: *s.candidate, freeSlotOnly: true}, true
 }
 
 // expectation returns the time that the call is expected to wait and to run where it would queue. The wait has no bound
@@ -102,7 +102,7 @@
 		return Offer{}, false
 	}
 	p.askedTiers[tier] = true
-	return Offer{candidate: s.candidate, freeSlotOnly: true}, true
+	return Offer{candidate: *s.candidate, freeSlotOnly: true}, true
 }
 
 // queueByDistance returns the endpoint at which the call queues: of the nearest tier, or of the next one in the region
@@ -115,12 +115,12 @@
 		best, _ = h.betterOfTwo(indexes)
 	}
 	if near != tierSameDomain || !p.degraded(h.now, best) {
-		return best.candidate
+		return *best.candidate
 	}
 	if s, ok := h.betterOfTwo(p.set.tiers[tierSameRegion]); ok && !p.degraded(h.now, s) {
-		return s.candidate
+		return *s.candidate
 	}
-	return best.candidate
+	return *best.candidate
 }
 
 func (p *OfferPlan) degraded(now time.Time, s scoredCandidate) bool {
--- a/baobabroute/endpointrate.go
+++ b/baobabroute/endpointrate.go
@@ -25,7 +25,7 @@
 }
 
 // observe records a report. The mean is that of the service for the kind of the report, or zero if it is not known.
-func (r *endpointRate) observe(now time.Time, l Load, mean time.Duration) {
+func (r *endpointRate) observe(now time.Time, l *reportedRate, mean time.Duration) {
 	if l.percent > 0 {
 		r.stated, r.statedAt = clampTimeFactor(float64(l.percent)/100), now
 	}
@@ -41,9 +41,6 @@
 	r.learntAt = now
 }
 
-// known reports whether there was a report with a figure.
-func (r *endpointRate) known() bool { return r.learnt > 0 || r.stated > 0 }
-
 // factor returns the service time relative to the mean of the service. Without recent figures it approaches 1.
 func (r *endpointRate) factor(now time.Time) float64 {
 	f := 1.0
--- a/baobabroute/endpointstats.go
+++ b/baobabroute/endpointstats.go
@@ -58,7 +58,7 @@
 	cooldownUntil       time.Time // End of the cooldown after the last failed connection.
 	unansweredSince     time.Time // Last end of a call, or start of the first call since; valid while calls are in flight.
 	lastUsedAt          time.Time
-	rate                endpointRate
+	rate                *endpointRate // Nil: no report with a rate yet.
 }
 
 // EndpointStatsOption sets an optional property of EndpointStats.
@@ -124,10 +124,19 @@
 
 // RecordLoad records the load that came with an answer or refusal.
 func (s *EndpointStats) RecordLoad(now time.Time, id string, l Load) {
-	mean := s.services.observe(l)
+	mean := time.Duration(0)
+	if l.rate != nil {
+		mean = s.services.observe(l.rate)
+	}
 	s.update(now, id, func(e *statsEntry) {
 		e.load, e.loadAt, e.startedSinceReport = l, now, 0
-		e.rate.observe(now, l, mean)
+		if l.rate == nil {
+			return
+		}
+		if e.rate == nil {
+			e.rate = &endpointRate{}
+		}
+		e.rate.observe(now, l.rate, mean)
 	})
 }
 
@@ -241,7 +250,7 @@
 		f := decayFactor(now.Sub(e.ratesAt), rateDecayTime)
 		s.failureRate, s.refusalRate = e.failureRate*f, e.refusalRate*f
 	}
-	if e.rate.known() {
+	if e.rate != nil {
 		s.timeFactor, s.service = e.rate.factor(now), e.rate.service
 	}
 	if !e.loadAt.IsZero() {
--- a/baobabroute/load.go
+++ b/baobabroute/load.go
@@ -8,9 +8,14 @@
 	limit    int // Concurrency limit; zero: unknown.
 	queued   int
 	wait     time.Duration // Recent wait in the admission queue.
-	kind     string        // Group of calls to which service applies.
-	service  time.Duration // Expected service time; zero: unknown.
-	percent  int           // How long work takes now by the upstream's own statement; 100 is as usual, zero: unknown.
+	rate     *reportedRate // Nil: unknown.
+}
+
+// A reportedRate is how long calls take at an endpoint.
+type reportedRate struct {
+	kind    string        // Group of calls to which service applies.
+	service time.Duration // Expected service time; zero: unknown.
+	percent int           // How long work takes now by the upstream's own statement; 100 is as usual, zero: unknown.
 }
 
 // NewLoad returns a load report. Negative values count as zero.
@@ -21,7 +26,9 @@
 // WithRate returns a copy with the expected service time of a kind of calls, or zero if it is not known, and the upstream's
 // statement of how long work takes there now: 100 is as usual, 0 not known.
 func (l Load) WithRate(kind string, service time.Duration, percent int) Load {
-	l.kind, l.service, l.percent = kind, max(service, 0), max(percent, 0)
+	if service > 0 || percent > 0 {
+		l.rate = &reportedRate{kind: kind, service: max(service, 0), percent: max(percent, 0)}
+	}
 	return l
 }
 
--- a/baobabroute/offerplan.go
+++ b/baobabroute/offerplan.go
@@ -92,13 +92,13 @@
 	if !overloaded && len(near) > 1 && p.nearOffers < maxNearOffers {
 		if s, ok := h.betterOfTwo(near); ok && !s.overloaded {
 			p.nearOffers++
-			return Offer{candidate: s.candidate, freeSlotOnly: true}, nil
+			return Offer{candidate: *s.candidate, freeSlotOnly: true}, nil
 		}
 	}
 	if overloaded && p.otherOffers < maxOtherOffers {
 		if s, ok := h.betterOfTwo(other); ok && !s.overloaded {
 			p.otherOffers++
-			return Offer{candidate: s.candidate, freeSlotOnly: true}, nil
+			return Offer{candidate: *s.candidate, freeSlotOnly: true}, nil
 		}
 	}
 	c, refusal := p.chooseQueue(h, near)
@@ -116,7 +116,10 @@
 		return Offer{}, false
 	}
 	s, ok := h.score(i, -1)
-	return Offer{candidate: s.candidate, freeSlotOnly: true}, ok && !s.overloaded
+	if !ok || s.overloaded {
+		return Offer{}, false
+	}
+	return Offer{candidate: *s.candidate, freeSlotOnly: true}, true
 }
 
 // nearOverloaded reports whether the better of two near endpoints is overloaded, those without a free slot included.
@@ -134,7 +137,7 @@
 	h.excluded = nil
 	for _, tier := range [][]int{asked, near} {
 		if s, ok := h.betterOfTwo(tier); ok && !p.chooser.stats.Snapshot(h.now, s.candidate.id).degraded() {
-			return s.candidate, nil
+			return *s.candidate, nil
 		}
 	}
 	return p.chooser.Choose(h.now, p.random, p.set, nil)
--- a/baobabroute/servicetimes.go
+++ b/baobabroute/servicetimes.go
@@ -20,26 +20,26 @@
 }
 
 // observe adds a report and returns the mean of its kind, or zero if the report has no service time.
-func (s *serviceTimes) observe(l Load) time.Duration {
-	if l.service <= 0 {
+func (s *serviceTimes) observe(r *reportedRate) time.Duration {
+	if r.service <= 0 {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	mean, ok := s.means[l.kind]
+	mean, ok := s.means[r.kind]
 	switch {
 	case !ok && len(s.means) >= maxServiceKinds:
 		return 0
 	case !ok:
-		mean = float64(l.service)
+		mean = float64(r.service)
 	default:
 		// The bound keeps one false figure from moving the mean.
-		sample := min(max(float64(l.service), minTimeFactor*mean), maxTimeFactor*mean)
+		sample := min(max(float64(r.service), minTimeFactor*mean), maxTimeFactor*mean)
 		mean += serviceTimeWeight * (sample - mean)
 	}
 	if s.means == nil {
 		s.means = map[string]float64{}
 	}
-	s.means[l.kind] = mean
+	s.means[r.kind] = mean
 	return time.Duration(mean)
 }
