--- a/baobabroute/endpointstats.go
+++ b/baobabroute/endpointstats.go
@@ -33,6 +33,7 @@
 type EndpointStats struct {
 	retention time.Duration
 	shards    [statsShardCount]statsShard
+	services  serviceTimes
 }
 
 type statsShard struct {
@@ -57,6 +58,7 @@
 	cooldownUntil       time.Time // End of the cooldown after the last failed connection.
 	unansweredSince     time.Time // Last end of a call, or start of the first call since; valid while calls are in flight.
 	lastUsedAt          time.Time
+	rate                *endpointRate // Nil: no report with a rate yet.
 }
 
 // EndpointStatsOption sets an optional property of EndpointStats.
@@ -122,8 +124,19 @@
 
 // RecordLoad records the load that came with an answer or refusal.
 func (s *EndpointStats) RecordLoad(now time.Time, id string, l Load) {
+	mean := time.Duration(0)
+	if l.rate != nil {
+		mean = s.services.observe(l.rate)
+	}
 	s.update(now, id, func(e *statsEntry) {
 		e.load, e.loadAt, e.startedSinceReport = l, now, 0
+		if l.rate == nil {
+			return
+		}
+		if e.rate == nil {
+			e.rate = &endpointRate{}
+		}
+		e.rate.observe(now, l.rate, mean)
 	})
 }
 
@@ -237,6 +250,9 @@
 		f := decayFactor(now.Sub(e.ratesAt), rateDecayTime)
 		s.failureRate, s.refusalRate = e.failureRate*f, e.refusalRate*f
 	}
+	if e.rate != nil {
+		s.timeFactor, s.service = e.rate.factor(now), e.rate.service
+	}
 	if !e.loadAt.IsZero() {
 		f := decayFactor(now.Sub(e.loadAt), loadDecayTime)
 		s.reportedCalls = float64(e.load.inFlight+e.load.queued)*f + float64(e.startedSinceReport)
