--- a/baobabnode/peerclient.go
+++ b/baobabnode/peerclient.go
@@ -61,7 +61,6 @@
 	if peer.Incomplete(err) {
 		return c.notSentCompletely(r, err)
 	}
-	}
 	if err != nil {
 		return c.unknownOutcome(r, err)
 	}
