--- a/baobabcaller/handler_test.go
+++ b/baobabcaller/handler_test.go
@@ -82,6 +82,7 @@
 		"Baobab-Caller": {"practice-7"}, "Baobab-Rank": {"urgent"}, "Baobab-Timeout-Ms": {"250"},
 		"Idempotency-Key": {"k1"}, "Baobab-Retried": {"1"}, "Connection": {"X-Secret"}, "X-Secret": {"1"},
 		"Te": {"trailers"}, "X-Kept": {"a", "b"}, "Baobab_caller": {"forged"}, "Baobab-Call-Id": {"forged"}, "Baobab-Other": {"forged"},
+		"Baobab-Account": {"forged"}, "Authorization": {"Bearer key"},
 	}
 	response, body := do(t, "POST", url+"//a%2Fb/c?q=1&r", header, strings.NewReader("hello"))
 	if string(body) != "ok" || response.Header.Get("Baobab-Outcome") != "ran" {
@@ -97,11 +98,14 @@
 	if want := "practice-7 urgent k1 true 250ms POST //a%2Fb/c?q=1&r hello\n"; text != want {
 		t.Errorf("call = %q, want %q", text, want)
 	}
-	for _, name := range []string{"Connection", "X-Secret", "Te", "Baobab-Caller", "Idempotency-Key", "Baobab-Retried", "Content-Length", "Baobab_caller", "Baobab-Call-Id", "Baobab-Other"} {
+	for _, name := range []string{"Connection", "X-Secret", "Te", "Baobab-Caller", "Idempotency-Key", "Baobab-Retried", "Content-Length", "Baobab_caller", "Baobab-Call-Id", "Baobab-Other", "Baobab-Account"} {
 		if _, ok := got.Header()[name]; ok {
 			t.Errorf("call header has %s", name)
 		}
 	}
+	if got.Credential() != call.NewCredential("key") || got.Header().Get("Authorization") == "" {
+		t.Errorf("credential %v, header %v: want the key in both until the route is known", got.Credential(), got.Header())
+	}
 	if fmt.Sprint(got.Header()["X-Kept"]) != "[a b]" {
 		t.Errorf("X-Kept = %v", got.Header()["X-Kept"])
 	}
--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	call "github.com/baobabdale/baobabdale/baobabcall"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	operator "github.com/baobabdale/baobabdale/baobaboperator"
 	peer "github.com/baobabdale/baobabdale/baobabpeer"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
@@ -36,6 +39,7 @@
 	configuration *configurationController
 	transport     *peer.Transport
 	freshness     *account.Freshness
+	counters      *accountCounters
 	bootTime      func() time.Duration
 	logger        *log.Logger
 
@@ -48,7 +52,7 @@
 func (n *Node) newAccountController() *accountController {
 	return &accountController{
 		board: n.board, members: n.members, transport: n.transport, logger: n.logger, bootTime: account.BootTime,
-		freshness: account.NewFreshness(n.overrides.withdrawalLimit),
+		freshness: account.NewFreshness(n.overrides.withdrawalLimit), counters: newAccountCounters(),
 	}
 }
 
@@ -70,17 +74,69 @@
 	if !k.Presented() && r.AllowsAnonymous() {
 		return identity{}, nil
 	}
+	found := directory.Find(k)
 	if _, ok := k.Digest(); ok && !a.freshness.Valid(a.bootTime(), active.Version().Number()) {
+		a.counters.count(accountName(found), accountProofExpired)
 		return identity{}, call.NewRefusal(call.ReasonProofExpired, call.OutcomeNotRun,
 			"the node cannot prove that keys are still valid").WithRetryAfter(proofExpiredRetryAfter)
 	}
-	found := directory.Find(k)
 	if found == nil {
+		a.counters.count(noAccount, accountUnauthorized)
 		return identity{}, call.NewRefusal(call.ReasonUnauthorized, call.OutcomeNotRun, "the request has no known key")
 	}
 	return identity{account: found.Name(), rank: r.AccountRank(found.Priority())}, nil
 }
 
+// accountName returns the name of an account for the counters, also if it is nil.
+func accountName(found *configuration.Account) string {
+	if found == nil {
+		return noAccount
+	}
+	return found.Name()
+}
+
+// countAdmission counts whether a call of an account was admitted by the limit of the account. Anonymous calls do not count.
+func (a *accountController) countAdmission(name string, admitted bool) {
+	switch {
+	case name == "":
+	case admitted:
+		a.counters.count(name, accountAdmitted)
+	default:
+		a.counters.count(name, accountOverLimit)
+	}
+}
+
+// writeMetrics writes the counters of accounts and, where keys need proof, the age of the proof in seconds.
+func (a *accountController) writeMetrics(w io.Writer) {
+	a.counters.write(w)
+	view := a.proofView()
+	if view == nil {
+		return
+	}
+	valid := 0
+	if view.Valid {
+		valid = 1
+	}
+	_, _ = fmt.Fprintf(w, "baobab_account_proof_valid %d\n", valid)
+	if view.Number > 0 {
+		_, _ = fmt.Fprintf(w, "baobab_account_proof_age_seconds %g\n", view.AgeSeconds)
+	}
+}
+
+// proofView returns the proof for the version in force, or nil where keys need none.
+func (a *accountController) proofView() *operator.ProofView {
+	active := a.board.ActiveConfiguration()
+	if !a.freshness.Enabled() || active == nil || active.Accounts().Empty() {
+		return nil
+	}
+	now, number := a.bootTime(), active.Version().Number()
+	v := &operator.ProofView{Valid: a.freshness.Valid(now, number)}
+	if p, ok := a.freshness.Newest(); ok {
+		v.Number, v.AgeSeconds = p.Number(), (now - p.At()).Seconds()
+	}
+	return v
+}
+
 // answerProof returns the newest proof that this node holds.
 func (a *accountController) answerProof(time.Time, *wire.ProofRequest) *wire.Proof {
 	p, ok := a.freshness.Newest()
--- /dev/null
+++ b/baobabnode/accountcontroller_test.go
@@ -0,0 +1,176 @@
+package baobabnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	account "github.com/baobabdale/baobabdale/baobabaccount"
+	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
+	call "github.com/baobabdale/baobabdale/baobabcall"
+	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
+	membership "github.com/baobabdale/baobabdale/baobabmembership"
+	peer "github.com/baobabdale/baobabdale/baobabpeer"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
+)
+
+// newAccountIngress returns an ingress whose version 1 has an account with the key "good", unless it has none.
+func newAccountIngress(t *testing.T, now time.Time, withAccount bool, limit time.Duration) (*Ingress, *accountController) {
+	t.Helper()
+	g := newTestIngress(t, now)
+	resources := []configuration.Resource{}
+	for _, r := range g.board.ActiveConfiguration().Snapshot().Document().Resources() {
+		if r.Kind() != configuration.KindRoute {
+			resources = append(resources, r)
+		}
+	}
+	add := func(r configuration.Resource, err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		resources = append(resources, r)
+	}
+	ranks := configuration.WithRouteAccountRanks(map[int]string{0: "urgent"})
+	add(configuration.NewRoute("lanes", "", "/lanes", "lanes", configuration.WithRoutePolicy("p", "normal"), ranks))
+	add(configuration.NewRoute("open", "", "/open", "lanes", configuration.WithRoutePolicy("p", "normal"), ranks,
+		configuration.WithRouteAllowAnonymous()))
+	if withAccount {
+		add(configuration.NewAccount("club", 0, configuration.WithAccountKeys("good")))
+	}
+	document, err := configuration.NewDocument(resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := configuration.NewSnapshot(2, document)
+	view, err := configuration.NewView(s, configuration.NewLabels(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.board.SetActiveConfiguration(blackboard.NewActiveConfiguration(s, view, now))
+	g.accounts = &accountController{
+		board: g.board, freshness: account.NewFreshness(limit), counters: newAccountCounters(), logger: log.New(io.Discard),
+		bootTime: func() time.Duration { return time.Minute },
+	}
+	return g, g.accounts
+}
+
+// TestIdentify guards against requests that run without a known key or without proof that it is still valid, against keys
+// that leave the node, and against changes for configurations without accounts.
+func TestIdentify(t *testing.T) {
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	long := strings.Repeat("k", 257)
+	for _, c := range []struct {
+		name, path    string
+		authorization []string
+		withAccount   bool
+		proof         bool
+		refusal       call.Reason // Empty if the call is routed.
+		account, rank string
+		forwarded     bool // The key's field stays in the header.
+	}{
+		{"known key", "/lanes", []string{"Bearer good"}, true, true, "", "club", "urgent", false},
+		{"scheme in lower case", "/lanes", []string{"bearer good"}, true, true, "", "club", "urgent", false},
+		{"known key on an anonymous route", "/open", []string{"Bearer good"}, true, true, "", "club", "urgent", false},
+		{"unknown key", "/lanes", []string{"Bearer bad"}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"unknown key on an anonymous route", "/open", []string{"Bearer bad"}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"no key", "/lanes", nil, true, true, call.ReasonUnauthorized, "", "", false},
+		{"no key on an anonymous route", "/open", nil, true, false, "", "", "normal", false},
+		{"two keys", "/lanes", []string{"Bearer good", "Bearer good"}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"two keys on an anonymous route", "/open", []string{"Bearer good", "x"}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"other scheme", "/open", []string{"Basic good"}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"empty key", "/open", []string{"Bearer "}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"oversized key", "/open", []string{"Bearer " + long}, true, true, call.ReasonUnauthorized, "", "", false},
+		{"no route", "/none", []string{"Bearer good"}, true, false, call.ReasonNoRoute, "", "", false},
+		{"no proof", "/lanes", []string{"Bearer good"}, true, false, call.ReasonProofExpired, "", "", false},
+		{"no proof, anonymous route", "/open", []string{"Bearer good"}, true, false, call.ReasonProofExpired, "", "", false},
+		{"no proof, no key", "/lanes", nil, true, false, call.ReasonUnauthorized, "", "", false},
+		{"no accounts", "/lanes", []string{"Bearer bad"}, false, false, "", "", "normal", true},
+	} {
+		g, a := newAccountIngress(t, now, c.withAccount, 5*time.Second)
+		if c.proof {
+			a.freshness.Record(account.NewProof(2, a.bootTime()))
+		}
+		header := http.Header{"Authorization": c.authorization}
+		if c.authorization == nil {
+			header = http.Header{}
+		}
+		r, refusal := g.route(now, call.NewCall("1", "caller", "GET", "host", c.path, call.WithHeader(header),
+			call.WithCredential(call.ReadCredential(header, "Authorization"), "Authorization")))
+		if refusal != nil || c.refusal != "" {
+			if refusal == nil || refusal.Reason() != c.refusal || refusal.Outcome() != call.OutcomeNotRun ||
+				c.refusal == call.ReasonProofExpired && refusal.RetryAfter() != time.Second {
+				t.Errorf("%s: refusal %v, want %q", c.name, refusal, c.refusal)
+			}
+			continue
+		}
+		_, forwarded := r.request.call.Header()["Authorization"]
+		if r.request.call.Account() != c.account || r.request.rank != c.rank || forwarded != c.forwarded {
+			t.Errorf("%s: account %q, rank %s, key forwarded %t", c.name, r.request.call.Account(), r.request.rank, forwarded)
+		}
+		if len(header["Authorization"]) != len(c.authorization) {
+			t.Errorf("%s: the header of the original call was changed", c.name)
+		}
+	}
+}
+
+// TestDelayedProof guards against a proof that counts from the arrival of the answer: a key withdrawn during a slow answer
+// would be accepted beyond the limit. The boot time jumps while the answer is on its way.
+func TestDelayedProof(t *testing.T) {
+	for _, c := range []struct {
+		delay time.Duration
+		valid bool
+	}{{0, true}, {2 * time.Second, true}, {4 * time.Second, false}} {
+		_, a := newAccountIngress(t, time.Now(), true, 5*time.Second)
+		clock := time.Minute
+		a.bootTime = func() time.Duration { return clock }
+		a.members = newMemberTable(a.board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1)))
+		a.transport = peer.NewTransport(peer.Unauthenticated{})
+		other := peer.NewTransport(peer.Unauthenticated{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		served := make(chan error, 1)
+		go func() {
+			served <- other.Serve(l, peer.HandlerFunc(func(_ context.Context, s *peer.Stream) {
+				_, _ = s.Receive()
+				clock += c.delay
+				age := time.Second
+				_ = s.SendWithBody(&wire.Envelope{Body: &wire.Envelope_Proof{
+					Proof: &wire.Proof{Number: 2, AgeUs: age.Microseconds()},
+				}}, nil)
+			}))
+		}()
+		a.askMember(t.Context(), membership.NewMember("n2", l.Addr().String(), "127.0.0.1:2", "a", "r", 1), false)
+		if got := a.freshness.Valid(clock, 2); got != c.valid {
+			t.Errorf("answer after %s: valid %t, want %t", c.delay, got, c.valid)
+		}
+		if p := a.answerProof(time.Time{}, nil); p.GetAgeUs() != (time.Second + c.delay).Microseconds() {
+			t.Errorf("answer after %s: passed on with age %d us", c.delay, p.GetAgeUs())
+		}
+		_, _ = a.transport.Close(), other.Close()
+		<-served
+	}
+}
+
+// TestAccountCounters guards against an output that grows with the number of accounts, and against lost counts.
+func TestAccountCounters(t *testing.T) {
+	c := newAccountCounters()
+	for i := range 2 * maxCountedAccounts {
+		c.count(fmt.Sprintf("a%d", i), accountAdmitted)
+	}
+	c.count(noAccount, accountUnauthorized)
+	var b strings.Builder
+	c.write(&b)
+	if n := strings.Count(b.String(), "\n"); n != maxCountedAccounts+2 ||
+		!strings.Contains(b.String(), fmt.Sprintf(`{account="(other)",result="admitted"} %d`, maxCountedAccounts)) {
+		t.Errorf("%d lines:\n%s", n, b.String())
+	}
+}
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -79,8 +79,10 @@
 	}
 	account := r.request.call.Account()
 	if refusal := g.limits.admit(now, account); refusal != nil {
+		g.accounts.countAdmission(account, false)
 		return nil, g.logRefusal(r, refusal, "", 0, route.StopUseless)
 	}
+	g.accounts.countAdmission(account, true)
 	answer, refusal := g.serve(ctx, r)
 	if refusal != nil && refusal.Outcome() == call.OutcomeNotRun {
 		g.limits.refund(g.now(), account)
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -54,6 +54,7 @@
 		n.metrics.NewGauge(fmt.Sprintf("baobab_upstream_state{state=%q}", s), func() float64 { return n.upstreamInState(s) })
 	}
 	n.metrics.RegisterMetricsWriter(n.writeAdmissionMetrics)
+	n.metrics.RegisterMetricsWriter(n.accounts.writeMetrics)
 }
 
 // writeAdmissionMetrics writes the counters of the admission gate. Their ranks come from the policy, so they cannot be
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -252,7 +252,7 @@
 	}, n.overrides.callerOptions...)...)
 	status.refusals = handler.Refusals
 	n.entry = caller.NewHTTPServer(handler, caller.WithGracePeriod(n.overrides.gracePeriod))
-	service := &operatorService{releases: n.releases, configuration: n.configuration, status: status}
+	service := &operatorService{releases: n.releases, configuration: n.configuration, accounts: n.accounts, status: status}
 	n.operatorAPI = operator.NewServer(service, n, operatorToken(s.Operator()), operator.WithMetrics(n.metrics),
 		operator.WithUnauthorizedHook(n.refusalLog.operatorRefused))
 }
--- a/baobabnode/operatorservice.go
+++ b/baobabnode/operatorservice.go
@@ -19,6 +19,7 @@
 type operatorService struct {
 	releases      *release.Repository
 	configuration *configurationController
+	accounts      *accountController
 	status        *statusController
 }
 
@@ -144,6 +145,7 @@
 	for _, p := range active.View().Policies() {
 		v.Policies = append(v.Policies, p.Name())
 	}
+	v.Accounts, v.Proof = len(active.View().Accounts()), s.accounts.proofView()
 	return v, nil
 }
 
--- a/baobaboperator/nodeview.go
+++ b/baobaboperator/nodeview.go
@@ -11,8 +11,17 @@
 	Routes        []RouteView `json:"routes"`
 	Services      []string    `json:"services"`
 	Policies      []string    `json:"policies"`
-	Rejected      Version     `json:"rejected"` // Number 0 if none since the version in force changed.
-	Reason        string      `json:"reason"`   // Why it was rejected.
+	Accounts      int         `json:"accounts"`        // Number of client accounts.
+	Proof         *ProofView  `json:"proof,omitempty"` // Nil where keys need no proof.
+	Rejected      Version     `json:"rejected"`        // Number 0 if none since the version in force changed.
+	Reason        string      `json:"reason"`          // Why it was rejected.
+}
+
+// ProofView is the newest proof of a node that keys are current.
+type ProofView struct {
+	Valid      bool    `json:"valid"`  // Whether requests with keys are served.
+	Number     uint64  `json:"number"` // Version that was the newest; 0 if there is no proof. A node needs that version in force.
+	AgeSeconds float64 `json:"age_s"`
 }
 
 // RouteView is a route and the resources that it refers to.
--- a/baobabupstream/client_test.go
+++ b/baobabupstream/client_test.go
@@ -465,7 +465,8 @@
 		got, body = r, string(b)
 	})
 	k := newCall("c1", "POST", "//a%2Fb?q=%20&r", call.WithBody([]byte("hello")), call.WithRank("urgent"),
-		call.WithIdempotencyKey("k1"), call.WithRetried(), call.WithHeader(http.Header{"X-A": {"1", "2"}}))
+		call.WithIdempotencyKey("k1"), call.WithRetried(), call.WithHeader(http.Header{"X-A": {"1", "2"}, "Baobab-Account": {"forged"}}),
+		call.WithAccount("club"))
 	now := time.Now()
 	if _, err := readAnswer(t, c.Do(t.Context(), now, k, now.Add(testTimeout))); err != nil {
 		t.Fatalf("read: %v", err)
@@ -475,7 +476,7 @@
 	}
 	want := map[string]string{
 		"Baobab-Call-Id": "c1", "Baobab-Caller": "caller", "Baobab-Rank": "urgent", "Idempotency-Key": "k1",
-		"Baobab-Retried": "1", "User-Agent": "", "Accept-Encoding": "",
+		"Baobab-Retried": "1", "Baobab-Account": "club", "User-Agent": "", "Accept-Encoding": "",
 	}
 	for name, value := range want {
 		if got.Header.Get(name) != value {
@@ -486,7 +487,10 @@
 	if _, err := fmt.Sscan(got.Header.Get("Baobab-Timeout-Ms"), &ms); err != nil || ms < 1 || ms > testTimeout.Milliseconds() {
 		t.Errorf("Baobab-Timeout-Ms = %q", got.Header.Get("Baobab-Timeout-Ms"))
 	}
-	if _, err := readAnswer(t, doCall(t, c, newCall("c2", "GET", "/"))); err != nil || got.ContentLength != 0 || len(got.TransferEncoding) != 0 {
+	if _, err := readAnswer(t, doCall(t, c, newCall("c2", "GET", "/", call.WithHeader(http.Header{"Baobab-Account": {"forged"}})))); err != nil || got.ContentLength != 0 || len(got.TransferEncoding) != 0 {
 		t.Errorf("GET without body: length %d, encoding %v, %v", got.ContentLength, got.TransferEncoding, err)
 	}
+	if a := got.Header["Baobab-Account"]; len(a) > 0 {
+		t.Errorf("call without account: Baobab-Account = %q", a)
+	}
 }
