--- a/baobabcommand/arguments.go
+++ b/baobabcommand/arguments.go
@@ -10,9 +10,10 @@
 	Timeout   time.Duration `arg:"--timeout" default:"30s" placeholder:"DURATION" help:"time allowed for one request, with all attempts at all nodes"`
 
 	Accept   *acceptCommand   `arg:"subcommand:accept" help:"make the edited configuration the next version"`
+	Account  *accountGroup    `arg:"subcommand:account" help:"set, delete, list and show client accounts"`
 	Apply    *applyCommand    `arg:"subcommand:apply" help:"set the resources in a JSON file or a folder of them"`
 	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare the edited configuration with the version in force"`
-	Label    *labelGroup      `arg:"subcommand:label" help:"set, delete and list labels of services and upstreams"`
+	Label    *labelGroup      `arg:"subcommand:label" help:"set, delete and list labels of services, upstreams and accounts"`
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
 	Policy   *policyGroup     `arg:"subcommand:policy" help:"set, delete, list and show policies"`
 	Route    *routeGroup      `arg:"subcommand:route" help:"set, delete, list and show routes"`
--- a/baobabcommand/labelcmd.go
+++ b/baobabcommand/labelcmd.go
@@ -13,13 +13,13 @@
 
 // labelGroup has the subcommands for labels.
 type labelGroup struct {
-	Delete *labelDeleteCommand `arg:"subcommand:delete" help:"delete labels of a service or upstream"`
-	List   *labelListCommand   `arg:"subcommand:list" help:"list the labels of services and upstreams"`
-	Set    *labelSetCommand    `arg:"subcommand:set" help:"set labels of a service or upstream"`
+	Delete *labelDeleteCommand `arg:"subcommand:delete" help:"delete labels of a service, upstream or account"`
+	List   *labelListCommand   `arg:"subcommand:list" help:"list the labels of services, upstreams and accounts"`
+	Set    *labelSetCommand    `arg:"subcommand:set" help:"set labels of a service, upstream or account"`
 }
 
 type labelSetCommand struct {
-	Target string   `arg:"positional,required" help:"service/NAME or upstream/NAME"`
+	Target string   `arg:"positional,required" help:"service/NAME, upstream/NAME or account/NAME"`
 	Labels []string `arg:"positional,required" placeholder:"KEY=VALUE" help:"labels to set; other labels stay"`
 	editOptions
 }
@@ -34,7 +34,7 @@
 		return err
 	}
 	return resourceEdit{
-		kind: kind, name: name, expect: c.Expect, mustExist: kind == baobaboperator.KindService,
+		kind: kind, name: name, expect: c.Expect, mustExist: kind != baobaboperator.KindUpstreamLabels,
 		modify: func(f fields) error {
 			setEntries(f.objectField("labels"), labels)
 			return nil
@@ -43,7 +43,7 @@
 }
 
 type labelDeleteCommand struct {
-	Target string   `arg:"positional,required" help:"service/NAME or upstream/NAME"`
+	Target string   `arg:"positional,required" help:"service/NAME, upstream/NAME or account/NAME"`
 	Keys   []string `arg:"positional,required" placeholder:"KEY" help:"labels to delete"`
 	editOptions
 }
@@ -66,7 +66,7 @@
 }
 
 type labelListCommand struct {
-	Target string `arg:"positional" help:"service/NAME or upstream/NAME; without it, all are listed"`
+	Target string `arg:"positional" help:"service/NAME, upstream/NAME or account/NAME; without it, all are listed"`
 }
 
 // labelledTarget is the JSON output for a service or upstream and its labels.
@@ -114,13 +114,20 @@
 		return nil, err
 	}
 	upstreams, err := client.ListResources(ctx, baobaboperator.KindUpstreamLabels)
-	return append(services, upstreams...), err
+	if err != nil {
+		return nil, err
+	}
+	accounts, err := client.ListResources(ctx, baobaboperator.KindAccount)
+	return slices.Concat(services, upstreams, accounts), err
 }
 
 func newLabelledTarget(r baobaboperator.Resource) (labelledTarget, error) {
 	l := labelledTarget{Target: "service/" + r.Name, Revision: r.Revision}
-	if r.Kind == baobaboperator.KindUpstreamLabels {
+	switch r.Kind {
+	case baobaboperator.KindUpstreamLabels:
 		l.Target = "upstream/" + r.Name
+	case baobaboperator.KindAccount:
+		l.Target = "account/" + r.Name
 	}
 	var text struct {
 		Labels map[string]string `json:"labels"`
@@ -132,7 +139,7 @@
 	return l, nil
 }
 
-// parseLabelTarget parses service/NAME or upstream/NAME.
+// parseLabelTarget parses service/NAME, upstream/NAME or account/NAME.
 func parseLabelTarget(target string) (baobaboperator.Kind, string, error) {
 	kind, name, _ := strings.Cut(target, "/")
 	if name != "" && kind == "service" {
@@ -141,7 +148,10 @@
 	if name != "" && kind == "upstream" {
 		return baobaboperator.KindUpstreamLabels, name, nil
 	}
-	return "", "", usagef("%q is not service/NAME or upstream/NAME", target)
+	if name != "" && kind == "account" {
+		return baobaboperator.KindAccount, name, nil
+	}
+	return "", "", usagef("%q is not service/NAME, upstream/NAME or account/NAME", target)
 }
 
 func formatKeyValues(pairs map[string]string) string {
