--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,10 +25,8 @@
 const (
 	// proofRole is the rendezvous-hash key that orders the members of a failure domain for proofs.
 	proofRole = "proof"
-	// proofRequestTimeout bounds a request for a proof to a member. A proof is worth little once it has taken longer.
-	proofRequestTimeout = 500 * time.Millisecond
-	// confirmTimeout bounds a confirmation by the source, so that a slow source can still give proof in time.
-	confirmTimeout = 1500 * time.Millisecond
+	// proofTimeout bounds a request for a proof. A late answer is still useful, because several requests run at a time.
+	proofTimeout = 1500 * time.Millisecond
 	// proofExpiredRetryAfter is when a call that was refused for want of proof may return.
 	proofExpiredRetryAfter = time.Second
 )
@@ -43,9 +42,8 @@
 	bootTime      func() time.Duration
 	logger        *log.Logger
 
-	mu         sync.Mutex
-	confirming bool         // Guarded by mu; a confirmation is in progress.
-	head       release.Head // Guarded by mu; the head that was confirmed last.
+	confirming atomic.Bool // A confirmation by the source is in progress.
+	refusing   bool        // Used by run only; the last check found no valid proof.
 }
 
 // newAccountController returns a controller whose configuration must be set before it runs.
@@ -151,8 +149,8 @@
 	if !a.freshness.Enabled() {
 		return nil
 	}
-	var confirmations sync.WaitGroup
-	defer confirmations.Wait()
+	var requests sync.WaitGroup
+	defer requests.Wait()
 	for ctx.Err() == nil {
 		changed := a.board.ActiveConfigurationChanged()
 		if active := a.board.ActiveConfiguration(); active == nil || active.Accounts().Empty() {
@@ -162,6 +160,7 @@
 			}
 			continue
 		}
+		a.logValidity()
 		order := a.members.rendezvousOrder(proofRole, a.members.selfRecord().FailureDomain())
 		before, _ := a.freshness.Newest()
 		target, due := a.freshness.Next(a.bootTime(), positionIn(order, a.members.self), rand.Float64())
@@ -169,10 +168,14 @@
 			return nil
 		}
 		if newest, _ := a.freshness.Newest(); newest != before {
-			continue // A confirmation ended meanwhile.
+			continue // An earlier request was answered meanwhile.
 		}
 		a.freshness.Asked(a.bootTime())
-		a.ask(ctx, target, order, &confirmations)
+		requests.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+			defer cancel()
+			a.ask(ctx, target, order)
+		})
 	}
 	return nil
 }
@@ -189,12 +192,26 @@
 	}
 }
 
-// ask requests a proof. A confirmation by the source runs in the background, so that a source that does not answer does
-// not keep the node from asking members.
-func (a *accountController) ask(ctx context.Context, t account.Target, order []membership.Member, confirmations *sync.WaitGroup) {
+// logValidity logs when requests with keys begin to be refused for want of proof, and when they are served again.
+func (a *accountController) logValidity() {
+	v := a.proofView()
+	if v == nil || v.Valid != a.refusing {
+		return
+	}
+	a.refusing = !v.Valid
+	if a.refusing {
+		a.logger.Warn("requests with keys are refused: no recent proof that the version in force is the newest",
+			"in_force", a.board.ActiveVersion().Number(), "proven", v.Number, "age", time.Duration(v.AgeSeconds*float64(time.Second)))
+		return
+	}
+	a.logger.Info("requests with keys are served", "proven", v.Number)
+}
+
+// ask requests a proof.
+func (a *accountController) ask(ctx context.Context, t account.Target, order []membership.Member) {
 	switch t {
 	case account.TargetSource:
-		confirmations.Go(func() { a.confirm(ctx) })
+		a.confirm(ctx)
 	case account.TargetFirst:
 		if len(order) > 0 {
 			a.askMember(ctx, order[0], false)
@@ -231,8 +248,6 @@
 	if m.ID() == a.members.self {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, proofRequestTimeout)
-	defer cancel()
 	sent := a.bootTime()
 	reply, err := a.transport.Request(ctx, m.PeerAddress(), &wire.Envelope{Body: &wire.Envelope_ProofRequest{
 		ProofRequest: &wire.ProofRequest{From: a.members.self},
@@ -253,28 +268,18 @@
 
 // confirm obtains a proof from the source, unless that is in progress, and puts a newer version in force.
 func (a *accountController) confirm(ctx context.Context) {
-	a.mu.Lock()
-	if a.confirming {
-		a.mu.Unlock()
+	if !a.confirming.CompareAndSwap(false, true) {
 		return
 	}
-	a.confirming = true
-	known := a.head
-	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
+	defer a.confirming.Store(false)
 	sent := a.bootTime()
-	head, err := a.configuration.source.Confirm(ctx, known)
-	if err == nil {
-		a.recordConfirmed(sent, head)
-	}
-	a.mu.Lock()
-	a.confirming = false
-	a.mu.Unlock()
+	// An empty head makes the source return the current one. A revision could belong to another head after a restore.
+	head, err := a.configuration.source.Confirm(ctx, release.Head{})
 	if err != nil {
 		a.logger.Debug("no proof from source", "err", err)
 		return
 	}
+	a.recordConfirmed(sent, head)
 	if err := a.configuration.loadIfNewer(ctx, head, a.configuration.publishesHead()); err != nil {
 		a.logger.Debug("confirmed version not in force", "number", head.Version().Number(), "err", err)
 	}
@@ -282,8 +287,5 @@
 
 // recordConfirmed records that the source confirmed a head in answer to a request sent at a boot time.
 func (a *accountController) recordConfirmed(sent time.Duration, head release.Head) {
-	a.mu.Lock()
-	a.head = head
-	a.mu.Unlock()
 	a.freshness.Record(account.NewProof(head.Version().Number(), sent))
 }
