--- a/baobabsettings/accounts.go
+++ b/baobabsettings/accounts.go
@@ -13,7 +13,7 @@
 func readAccounts(r *reader) Accounts {
 	a := Accounts{withdrawalLimit: r.duration("accounts", "withdrawal_limit", 0, 0, time.Hour)}
 	if a.withdrawalLimit > 0 && a.withdrawalLimit < minWithdrawalLimit {
-		r.addProblem("accounts", "withdrawal_limit", "is %s, want 0s or at least %s", a.withdrawalLimit, minWithdrawalLimit)
+		r.addProblem("accounts", "withdrawal_limit", "%s is neither 0s nor at least %s", a.withdrawalLimit, minWithdrawalLimit)
 	}
 	return a
 }
--- a/baobabsettings/settings_test.go
+++ b/baobabsettings/settings_test.go
@@ -72,7 +72,8 @@
 		t.Fatal(err)
 	}
 	if s.Limits() != defaults.Limits() || s.Call() != defaults.Call() || s.Claim() != defaults.Claim() ||
-		s.Log() != defaults.Log() || s.Membership() != defaults.Membership() || s.Shutdown() != defaults.Shutdown() {
+		s.Log() != defaults.Log() || s.Membership() != defaults.Membership() || s.Shutdown() != defaults.Shutdown() ||
+		s.Accounts() != defaults.Accounts() {
 		t.Error("the example shows a value as default that is not the default")
 	}
 	if got := s.Node().Labels()["tier"]; got != "urgent" {
@@ -128,6 +129,8 @@
 		{"size range", "", "[limits]\nmax_body_size = 2GiB\n",
 			[]string{"[limits] max_body_size: 2GiB is not between 1KiB and 1GiB"}},
 		{"number", "", "[limits]\nmax_calls = many\n", []string{`[limits] max_calls: "many" is not a whole number`}},
+		{"withdrawal limit", "", "[accounts]\nwithdrawal_limit = 2s\n",
+			[]string{"[accounts] withdrawal_limit: 2s is neither 0s nor at least 3s"}},
 		{"number range", "", "[limits]\nmax_calls = 0\n", []string{"[limits] max_calls: 0 is not between 1 and 1048576"}},
 		{"choice", "", "[log]\nlevel = loud\n", []string{`[log] level: "loud" is not one of debug, info, warn, error`}},
 		{"seed", "key_file = key", "key_file = key\nseeds = 127.0.0.1:9, b:1, 127.0.0.1:9", []string{
