--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -55,6 +55,7 @@
 	}
 	n.metrics.RegisterMetricsWriter(n.writeAdmissionMetrics)
 	n.metrics.RegisterMetricsWriter(n.dependencies.writeMetrics)
+	n.metrics.RegisterMetricsWriter(n.accounts.writeMetrics)
 }
 
 // writeAdmissionMetrics writes the counters of the admission gate. Their ranks come from the policy, so they cannot be
