--- a/baobabadmission/objective.go
+++ b/baobabadmission/objective.go
@@ -10,8 +10,8 @@
 	// returnShare is the share of a rank's recent grants that callers which were refused are asked to use when they
 	// return. The rest is for calls that arrive for the first time.
 	returnShare = 0.5
-	// maxReturnDelay bounds Retry-After, because few callers wait longer.
-	maxReturnDelay = 2 * time.Second
+	// maxReturnDelay bounds Retry-After.
+	maxReturnDelay = 4 * time.Second
 )
 
 // newEntry returns the entry of a request that has arrived.
@@ -52,7 +52,7 @@
 	overloaded := q.ranks[e.rank].overloaded
 	maxWait := e.request.objective.Sub(now) - s.expectedLatency*slowServicePercent/100
 	switch {
-	case maxWait <= 0 && !overloaded:
+	case maxWait <= 0 && !overloaded && e.lane != laneNested:
 		return nil
 	case overloaded || e.lane == laneNested:
 		// See targetRefusal for the half. The root of a nested call needs time after it, and may make further ones.
@@ -67,15 +67,19 @@
 }
 
 // returnAfter returns when the caller of a refused request should return. Without an order by objectives it is the
-// estimated wait. Otherwise room is expected once the excess of the wait has been worked off, and callers that are
-// refused after each other get times after each other, so that they do not return all at once.
+// estimated wait. Otherwise it is the excess of the wait, or about the time for which the rank has been overloaded: callers
+// that return while new calls are refused take their place, and are late. Callers that are refused after each other get
+// times after each other, so that they do not return all at once.
 func (q *Queue) returnAfter(now time.Time, e *Entry, wait, excess time.Duration) time.Duration {
 	if !q.objectiveOrder {
 		return wait
 	}
 	r := q.ranks[e.rank]
+	if r.overloaded && !r.lastShortWait.IsZero() {
+		excess = max(excess, now.Sub(r.lastShortWait))
+	}
 	gap := time.Duration(float64(time.Second) / max(returnShare*r.grantRate(now), 1))
-	at := now.Add(excess)
+	at := now.Add(min(excess, maxReturnDelay/2))
 	if r.nextReturn.After(at) && r.nextReturn.Sub(now) <= maxReturnDelay {
 		at = r.nextReturn
 	}
--- a/baobabdependency/kind.go
+++ b/baobabdependency/kind.go
@@ -24,17 +24,17 @@
 	// slowGrowth is the factor per decision while the share is near that of a lasting shortage, and fastGrowth the factor
 	// once holdTime has passed since the last cut or the service is as fast as before. From minShare the share is 1 again
 	// in 4 fast steps.
-	slowGrowth = 1.05
+	slowGrowth = 1.1
 	fastGrowth = 2.5
-	holdTime   = 600 * time.Millisecond
+	holdTime   = 2 * time.Second
 	// fullShare is the share from which all roots start.
 	fullShare = 0.97
 
-	// returnBase and returnSpread bound Retry-After: a service that is short has room again at the earliest after one
-	// decision, and callers return spread over a second.
-	returnBase   = 250 * time.Millisecond
-	returnSpread = time.Second
-	// goldenRatio spreads consecutive refusals evenly over returnSpread, however many there are.
+	// minReturn and maxReturn bound Retry-After. While roots are refused, those that return take the place of new ones, so
+	// callers wait about as long as the shortage has lasted: most shortages last at least as long again.
+	minReturn = 250 * time.Millisecond
+	maxReturn = 4 * time.Second
+	// goldenRatio spreads consecutive refusals evenly from half of that time to all of it, however many there are.
 	goldenRatio = 0.618034
 
 	// maxServices bounds the services remembered per kind.
@@ -47,6 +47,7 @@
 	dependencies []*dependency // Sorted by service.
 	roots        uint64        // Started.
 	refused      uint64
+	mix          mix
 
 	share      float64   // Share of roots that start, minShare to 1.
 	phase      float64   // Position of the next Retry-After in the spread, 0 to 1.
@@ -73,8 +74,17 @@
 	return k.dependencies[i]
 }
 
-// record adds a nested call.
-func (k *kind) record(now time.Time, service string, e Ending, took time.Duration) {
+// start counts a root that starts.
+func (k *kind) start(now time.Time) {
+	k.roots++
+	k.mix.recordRoot(now)
+}
+
+// record adds a nested call, the first one of its root or a further one.
+func (k *kind) record(now time.Time, service string, first bool, e Ending, took time.Duration) {
+	if first {
+		k.mix.recordCalling(now)
+	}
 	d := k.dependencyOn(service)
 	if d == nil {
 		return
@@ -96,8 +106,8 @@
 
 // decide changes the share by the nested calls since the last decision, once enough time has passed.
 //
-// The share falls by the share of nested calls that were refused, so that about as many roots start as find room. It
-// rises slowly after a cut, because a lasting shortage would refuse the nested calls of more roots, and fast later. It
+// The share falls by the share of nested calls that were refused, so that about as many roots start as find room, but at
+// least half as many as make no nested calls. It rises slowly after a cut, because a lasting shortage would refuse the nested calls of more roots, and fast later. It
 // also rises without any nested calls, because nothing shows then that a service lacks room.
 func (k *kind) decide(now time.Time) {
 	elapsed := now.Sub(k.decidedAt)
@@ -133,7 +143,7 @@
 }
 
 func (k *kind) cut(now time.Time, d *dependency) {
-	k.share = max(minShare, k.share*(1-d.shortShare()))
+	k.share = max(minShare, k.mix.withoutNested()/2, k.share*(1-d.shortShare()))
 	k.cutAt, k.shortOf = now, d.service
 	if d.calls[EndingServed] > 0 {
 		d.shortLatency = d.meanTook()
@@ -179,5 +189,6 @@
 	if k.phase >= 1 {
 		k.phase--
 	}
-	return false, returnBase + time.Duration(k.phase*float64(returnSpread))
+	longest := min(max(2*now.Sub(k.shortSince), 2*minReturn), maxReturn)
+	return false, time.Duration((0.5 + 0.5*k.phase) * float64(longest))
 }
--- a/baobabdependency/tracker.go
+++ b/baobabdependency/tracker.go
@@ -28,8 +28,9 @@
 	return &Tracker{onChange: onChange, kinds: map[string]*kind{}}
 }
 
-// RecordNested records a nested call of a kind of root to a service, and how long it took.
-func (t *Tracker) RecordNested(now time.Time, kindName, service string, e Ending, took time.Duration) {
+// RecordNested records a nested call of a kind of root to a service, whether it was the first one of its root, and how long
+// it took.
+func (t *Tracker) RecordNested(now time.Time, kindName, service string, first bool, e Ending, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k, ok := t.kinds[kindName]
@@ -41,7 +42,7 @@
 		t.kinds[kindName] = k
 	}
 	defer t.reportChange(now, k, k.shortSince)
-	k.record(now, service, e, took)
+	k.record(now, service, first, e, took)
 }
 
 // RootAdmission reports whether the root with the given call id starts, and otherwise after which time its caller should
@@ -66,11 +67,11 @@
 }
 
 // RecordStart counts a root that starts.
-func (t *Tracker) RecordStart(kindName string) {
+func (t *Tracker) RecordStart(now time.Time, kindName string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if k, ok := t.kinds[kindName]; ok {
-		k.roots++
+		k.start(now)
 	}
 }
 
--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -54,6 +54,8 @@
 	fairCaller string
 	// rootKind is the kind of the call that makes a nested call, on the node where the call entered; otherwise empty.
 	rootKind string
+	// nestedNumber counts the nested calls of a root, from 1, on the node where the call entered; otherwise 0.
+	nestedNumber int
 }
 
 // admissionCaller returns the caller among which admission shares a rank.
--- a/baobabnode/dependencycontroller.go
+++ b/baobabnode/dependencycontroller.go
@@ -32,6 +32,7 @@
 	deadline  time.Time
 	objective time.Time // Zero: none.
 	kind      string
+	nested    int // Nested calls so far, including this one.
 }
 
 func newDependencyController(s settings.Admission, decisions *decisionLog) *dependencyController {
@@ -62,17 +63,18 @@
 	if !ok {
 		return rootCall{}, false
 	}
+	root.nested++
 	return *root, true
 }
 
 // track registers a call that starts at the upstream on this VM. The returned function ends the registration.
-func (d *dependencyController) track(_ time.Time, r *admissionRequest) func() {
+func (d *dependencyController) track(now time.Time, r *admissionRequest) func() {
 	if !d.enabled {
 		return func() {}
 	}
 	id := r.call.ID()
 	root := &rootCall{rank: r.rank, account: r.admissionCaller(), deadline: r.deadline, objective: r.objective, kind: r.kind()}
-	d.tracker.RecordStart(root.kind)
+	d.tracker.RecordStart(now, root.kind)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inProgress[id] = root
@@ -110,7 +112,7 @@
 	if !d.enabled || r.rootKind == "" {
 		return
 	}
-	d.tracker.RecordNested(now, r.rootKind, r.service, dependency.EndingOf(refusal), took)
+	d.tracker.RecordNested(now, r.rootKind, r.service, r.nestedNumber == 1, dependency.EndingOf(refusal), took)
 }
 
 // observeAttempt records in the retry budget of a service whether an attempt found room there.
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -167,7 +167,7 @@
 	if rank, ok := policy.Rank(root.rank); ok && rank.Priority() < own.Priority() {
 		r.rank = rank.Name()
 	}
-	r.fairCaller, r.rootKind = root.account, root.kind
+	r.fairCaller, r.rootKind, r.nestedNumber = root.account, root.kind, root.nested
 	r.deadline = earlierOf(r.deadline, root.deadline)
 	// A nested call has served its purpose if the root meets its objective.
 	if !root.objective.IsZero() {
--- a/baobabscarcity/call.go
+++ b/baobabscarcity/call.go
@@ -13,14 +13,15 @@
 
 // A simCall is one request of a caller, or one nested call.
 type simCall struct {
-	id        int
-	kind      int // Index of the kind, also of the root's kind; nested is set for nested calls.
-	service   int
-	rank      int
-	work      time.Duration
-	nested    bool
-	deadline  time.Time
-	objective time.Time
+	id          int
+	kind        int // Index of the kind, also of the root's kind; nested is set for nested calls.
+	service     int
+	rank        int
+	work        time.Duration
+	nested      bool
+	nestedCalls int // Made so far.
+	deadline    time.Time
+	objective   time.Time
 }
 
 // kindName returns the group of calls of similar cost.
--- a/baobabscarcity/node.go
+++ b/baobabscarcity/node.go
@@ -116,6 +116,7 @@
 func (n *node) execute(c *simCall, done func(callEnd)) {
 	r := n.run
 	started, ended := r.clock.now(), false
+	n.tracker.RecordStart(started, c.kindName())
 	end := func(e callEnd, o admission.Outcome) {
 		if ended {
 			return
@@ -135,7 +136,7 @@
 	}
 	r.clock.after(c.deadline.Sub(started), func() { end(callEnd{failed: true}, admission.OutcomeCancelled) })
 	finish := func() { end(callEnd{}, admission.OutcomeSucceeded) }
-	work := r.serviceTime(n.service, c.work)
+	work := r.serviceTime(c.work)
 	k := r.scenario.Kinds[c.kind]
 	if c.nested || k.Nested == 0 || r.random.Float64() >= k.Share {
 		r.clock.after(work, finish)
@@ -183,6 +184,8 @@
 // callOnce makes one nested call through this node and records how it ended.
 func (n *node) callOnce(root *simCall, done func(ok bool)) {
 	r := n.run
+	root.nestedCalls++
+	first := root.nestedCalls == 1
 	now := r.clock.now()
 	k := r.scenario.Kinds[root.kind]
 	c := r.newCall()
@@ -198,7 +201,7 @@
 	}
 	n.send(c, func(e callEnd) {
 		end := r.clock.now()
-		n.tracker.RecordNested(end, root.kindName(), strconv.Itoa(c.service), dependency.EndingOf(e.refusal), end.Sub(now))
+		n.tracker.RecordNested(end, root.kindName(), strconv.Itoa(c.service), first, dependency.EndingOf(e.refusal), end.Sub(now))
 		done(e.refusal == nil && !e.failed)
 	})
 }
--- a/baobabscarcity/run.go
+++ b/baobabscarcity/run.go
@@ -82,19 +82,18 @@
 	return &simCall{id: r.calls}
 }
 
-// serviceTime returns how long an upstream of the service works on a call now: half of the mean is fixed, the other half
+// serviceTime returns how long an upstream works on a call: half of the mean is fixed, the other half
 // exponentially distributed.
-func (r *run) serviceTime(service int, mean time.Duration) time.Duration {
-	d := time.Duration(float64(mean) * (0.5 + 0.5*r.random.ExpFloat64()))
-	if service == r.scenario.Shrinks && r.scenario.shrunk(r.clock.elapsed) {
-		d *= shrinkFactor
-	}
-	return d
+func (r *run) serviceTime(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.5 + 0.5*r.random.ExpFloat64()))
 }
 
-// choose returns the less loaded of two random nodes of a service.
+// choose returns the less loaded of two random nodes of a service, of which a third are left while it is shrunk.
 func (r *run) choose(service int) *node {
 	nodes := r.nodes[service]
+	if service == r.scenario.Shrinks && r.scenario.shrunk(r.clock.elapsed) {
+		nodes = nodes[:max(1, len(nodes)/shrinkFactor)]
+	}
 	a, b := nodes[r.random.IntN(len(nodes))], nodes[r.random.IntN(len(nodes))]
 	if b.load() < a.load() {
 		return b
