--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -249,7 +249,7 @@
 			drops = append(drops, Drop{entry: e, refusal: refusal})
 			continue
 		}
-		q.updateCredits(rank)
+		q.updateCredits(rank, e)
 		q.ranks[rank].recordGrant(now, e, q.policy.ranks[rank].latencyTarget)
 		return e, drops
 	}
@@ -318,16 +318,29 @@
 func (q *Queue) creditAtGrant(rank int) float64 {
 	// Compensates for rounding, because of which the sum of many shares falls short of 1.
 	const rounding = 1e-9
+	if q.objectiveOrder {
+		return q.ranks[rank].credit + rounding
+	}
 	return q.ranks[rank].credit + float64(q.policy.ranks[rank].floorPercent)/100 + rounding
 }
 
+// floorOf returns the share of a grant that is due to a rank by its floor. With an order by objectives, floors are shares of
+// the time for which slots are held: a grant of a short call adds less to a rank of long calls.
+func (q *Queue) floorOf(rank int, granted *Entry) float64 {
+	floor := float64(q.policy.ranks[rank].floorPercent) / 100
+	if expected := q.ranks[rank].expectedLatency; q.objectiveOrder && granted.service > 0 && expected > 0 {
+		floor *= min(1, granted.service.Seconds()/expected.Seconds())
+	}
+	return floor
+}
+
 // updateCredits adds its share of one grant to the credit of each waiting rank and of the granted one, and subtracts the
 // grant from the granted rank.
-func (q *Queue) updateCredits(granted int) {
+func (q *Queue) updateCredits(granted int, e *Entry) {
 	for i, r := range q.ranks {
 		if r.length > 0 || i == granted {
 			// The bound keeps a rank whose entries all expire from accumulating credit for a burst.
-			r.credit = min(q.creditAtGrant(i), float64(len(q.ranks)+1))
+			r.credit = min(r.credit+q.floorOf(i, e), float64(len(q.ranks)+1))
 		}
 	}
 	q.ranks[granted].credit = max(0, q.ranks[granted].credit-1)
