--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -182,15 +182,17 @@
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
 	n.accounts, n.limits, n.dependencies = &accountController{}, &limitController{}, &dependencyController{}
-	n.rollouts = newRolloutController(n.overrides.rollouts, n.board, n.members, n.now, n.logger)
+	n.rollouts = newRolloutController(n.overrides.rollouts || s.Rollouts().Enabled(), n.board, n.members, n.now, n.logger)
 	n.rollouts.connect(n.store, broadcaster, n.transport, n.metrics)
 	n.releases = release.NewRepository(n.store, release.WithHighestNumber(n.board.HighestNumber))
 	source := n.overrides.source
 	if source == nil {
 		source = n.releases
 	}
-	if s, ok := source.(OrderSource); ok {
-		s.FollowOrders(n.rollouts.observeOrder)
+	if orders, ok := source.(OrderSource); ok {
+		orders.FollowOrders(n.rollouts.observeOrder)
+	} else {
+		n.rollouts.orderPollInterval = s.Platform().PollInterval()
 	}
 	n.configuration = &configurationController{
 		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
--- a/baobabnode/rolloutcontroller.go
+++ b/baobabnode/rolloutcontroller.go
@@ -46,6 +46,8 @@
 	views      *blackboard.ShardedMap[string, *rolloutView] // By service.
 	generation atomic.Uint64                                // Rises with each change of a split.
 
+	orderPollInterval time.Duration // Between reads of the orders; 0: a source hands them on.
+
 	store       rolloutStore
 	broadcaster *broadcaster
 	transport   *peer.Transport
@@ -80,6 +82,9 @@
 	if !c.enabled {
 		return nil
 	}
+	if c.orderPollInterval > 0 {
+		c.broadcaster.goTracked(func() { c.pollOrders(ctx) })
+	}
 	tick := time.NewTicker(rolloutInterval)
 	defer tick.Stop()
 	for {
@@ -234,7 +239,9 @@
 	before := s.Record()
 	var changed bool
 	if w.GetOrder() == 0 {
-		changed = s.MergeHeld(w.GetBaseline(), at)
+		if changed = s.MergeHeld(w.GetBaseline(), at); changed {
+			c.logger.Info("version in use", "service", w.GetService(), "version", w.GetBaseline(), "held", now.Sub(at))
+		}
 	} else {
 		changed = s.Merge(fromWireRecord(w, at))
 	}
--- a/baobabsettings/settings.go
+++ b/baobabsettings/settings.go
@@ -21,6 +21,7 @@
 	call       Call
 	claim      Claim
 	membership Membership
+	rollouts   Rollouts
 	shutdown   Shutdown
 	upstream   Upstream
 	log        Log
@@ -56,6 +57,7 @@
 		call:       readCall(r),
 		claim:      readClaim(r),
 		membership: readMembership(r),
+		rollouts:   readRollouts(r),
 		shutdown:   readShutdown(r),
 		upstream:   readUpstream(r),
 		log:        readLog(r),
@@ -94,6 +96,9 @@
 // Membership returns the intervals and timeouts of failure detection and of state exchange.
 func (s *Settings) Membership() Membership { return s.membership }
 
+// Rollouts returns the settings of progressive roll-outs.
+func (s *Settings) Rollouts() Rollouts { return s.rollouts }
+
 // Shutdown returns the time limits of a graceful shutdown.
 func (s *Settings) Shutdown() Shutdown { return s.shutdown }
 
--- a/baobabsettings/settings_test.go
+++ b/baobabsettings/settings_test.go
@@ -72,7 +72,8 @@
 		t.Fatal(err)
 	}
 	if s.Limits() != defaults.Limits() || s.Call() != defaults.Call() || s.Claim() != defaults.Claim() ||
-		s.Log() != defaults.Log() || s.Membership() != defaults.Membership() || s.Shutdown() != defaults.Shutdown() {
+		s.Log() != defaults.Log() || s.Membership() != defaults.Membership() || s.Shutdown() != defaults.Shutdown() ||
+		s.Rollouts() != defaults.Rollouts() {
 		t.Error("the example shows a value as default that is not the default")
 	}
 	if got := s.Node().Labels()["tier"]; got != "urgent" {
