--- a/baobabnode/rolloutevidence.go
+++ b/baobabnode/rolloutevidence.go
@@ -21,7 +21,7 @@
 	maxEvidenceKinds = 16
 	otherKinds       = "other"
 	// coldTime is how long the latencies of an upstream that has started do not count.
-	coldTime = 4 * time.Second
+	coldTime = time.Second
 )
 
 // A rolloutEvidence holds the answers of the upstream on this VM while roll-outs run, by service.
--- a/baobabrollout/judge.go
+++ b/baobabrollout/judge.go
@@ -17,15 +17,15 @@
 	// minBaselineAnswers is how many answers of the baseline a comparison needs.
 	minBaselineAnswers = 10
 	// condemnAt is the logarithm of the likelihood ratio at which the target is condemned. By Wald's bound a single test
-	// exceeds it for a good version with a probability of at most exp(-12), about 6 in a million, for each time that the
+	// exceeds it for a good version with a probability of at most exp(-10), about 5 in 100,000, for each time that the
 	// ratio starts from 1.
-	condemnAt = 12.0
+	condemnAt = 10.0
 	// minFailureRate and minSlowRate are the lowest rates of a good version that the tests assume. A few chance failures are
 	// no evidence even if the baseline had none.
 	minFailureRate = 0.02
 	minSlowRate    = 0.05
 	// failureStep is the share of the answers that a bad version fails in addition, at least.
-	failureStep = 0.3
+	failureStep = 0.15
 	// slowShare is the share of slow answers of a bad version, at least.
 	slowShare = 0.6
 	// slowBuckets is how many latency buckets beyond the median of the baseline an answer is slow: 4 times the median. A good
