--- a/baobabsettings/settings_test.go
+++ b/baobabsettings/settings_test.go
@@ -73,7 +73,7 @@
 	}
 	if s.Limits() != defaults.Limits() || s.Call() != defaults.Call() || s.Claim() != defaults.Claim() ||
 		s.Log() != defaults.Log() || s.Admission() != defaults.Admission() || s.Membership() != defaults.Membership() ||
-		s.Shutdown() != defaults.Shutdown() || s.Accounts() != defaults.Accounts() {
+		s.Shutdown() != defaults.Shutdown() || s.Accounts() != defaults.Accounts() || s.Rollouts() != defaults.Rollouts() {
 		t.Error("the example shows a value as default that is not the default")
 	}
 	if got := s.Node().Labels()["tier"]; got != "urgent" {
