--- a/baobabnode/option.go
+++ b/baobabnode/option.go
@@ -21,6 +21,7 @@
 	callerOptions             []caller.Option
 	clientOptions             []upstream.ClientOption
 	announcementHandler       func(*upstream.Registry) http.Handler
+	speedReader               SpeedReader   // Nil: upstreams do not state their speed.
 	gracePeriod, drainTimeout time.Duration // Default to the settings.
 	withdrawalLimit           time.Duration // Defaults to the settings.
 }
@@ -64,3 +65,7 @@
 func WithAnnouncementHandler(handler func(*upstream.Registry) http.Handler) Option {
 	return func(o *overrides) { o.announcementHandler = handler }
 }
+
+// WithSpeedReader sets how answers of the upstream state how long work takes there. It has an effect only where the
+// settings make nodes choose by rates.
+func WithSpeedReader(read SpeedReader) Option { return func(o *overrides) { o.speedReader = read } }
