--- a/baobabnode/bootstrapper.go
+++ b/baobabnode/bootstrapper.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -18,8 +17,11 @@
 	// joinBatchSize is how many addresses a starting node contacts concurrently at first. The batch size doubles while
 	// none answers, because after a mass failure most seed rows name nodes that no longer exist.
 	joinBatchSize = 3
-	// joinTimeout bounds the join requests of one batch.
-	joinTimeout = time.Second
+	// defaultJoinTimeout bounds a join request.
+	defaultJoinTimeout = time.Second
+	// joinStagger is the pause before the next batch while no address has answered. It covers the answer of a node that
+	// starts at the same time.
+	joinStagger = 300 * time.Millisecond
 	// startBackoffMin is the base pause after the first startup attempt. It doubles up to startBackoffMax, so that
 	// thousands of nodes that wait for the platform or for a first configuration do not overload the platform. When a
 	// version comes into force, the next attempt follows at once.
@@ -41,6 +43,9 @@
 	seeds         *seedRegistry
 	authoritative bool          // The source alone can confirm the version.
 	platformWait  time.Duration // How long to wait for the platform before the answers of peers suffice.
+	joinTimeout   time.Duration // Of one join request.
+	sendJoin      func(ctx context.Context, address string) (*wire.JoinReply, error)
+	joins         sync.WaitGroup // Join requests in progress.
 	now           func() time.Time
 	logger        *log.Logger
 
@@ -49,7 +54,9 @@
 	reason string // Guarded by mu; why the node is not ready, or empty.
 }
 
-func newBootstrapper() *bootstrapper { return &bootstrapper{reason: "starting"} }
+func newBootstrapper() *bootstrapper {
+	return &bootstrapper{reason: "starting", joinTimeout: defaultJoinTimeout}
+}
 
 // Ready implements operator.Readiness.
 func (b *bootstrapper) Ready(time.Time) (bool, string) {
@@ -63,6 +70,7 @@
 	if !sleep(ctx, rand.N(startJitter)) {
 		return nil
 	}
+	defer b.joins.Wait()
 	startedAt := b.now()
 	joined, ready := false, false
 	found := b.membership.peerFound
@@ -108,36 +116,67 @@
 	}
 	addresses := b.seeds.addresses(ctx)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for size := joinBatchSize; len(addresses) > 0; size *= 2 {
+	if !b.joinAny(ctx, addresses) {
+		return false
+	}
+	b.membership.announceSelf(func(*membership.Member) {})
+	return true
+}
+
+// joinAny sends join requests to the addresses, in batches of growing size, until one of them answers. The next batch
+// follows when all requests have failed, or after joinStagger: a node without power does not refuse connections, so that
+// each batch after a mass failure would otherwise take joinTimeout. It reports whether any of them answered.
+func (b *bootstrapper) joinAny(ctx context.Context, addresses []string) bool {
+	answers := make(chan bool, len(addresses))
+	pending := 0
+	for size := joinBatchSize; len(addresses) > 0 || pending > 0; size *= 2 {
 		size = min(size, len(addresses))
-		if b.joinAny(ctx, addresses[:size]) {
-			b.membership.announceSelf(func(*membership.Member) {})
-			return true
+		for _, address := range addresses[:size] {
+			b.joins.Go(func() { answers <- b.joinOne(ctx, address) })
 		}
 		addresses = addresses[size:]
+		pending += size
+		if b.awaitJoin(answers, &pending, len(addresses) > 0) {
+			return true
+		}
 	}
 	return false
 }
 
-// joinAny sends join requests to all of the addresses concurrently. It reports whether any of them answered.
-func (b *bootstrapper) joinAny(ctx context.Context, addresses []string) bool {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	var answered atomic.Bool
-	var wg sync.WaitGroup
-	for _, address := range addresses {
-		wg.Go(func() {
-			reply, err := b.membership.join(ctx, address)
-			if err != nil {
-				b.logger.Debug("join failed", "address", address, "err", err)
-				return
+// awaitJoin waits until a join request is answered, all pending ones have failed or, if more addresses are left,
+// joinStagger has passed. It reports whether one was answered.
+func (b *bootstrapper) awaitJoin(answers <-chan bool, pending *int, more bool) bool {
+	var stagger <-chan time.Time
+	if more {
+		t := time.NewTimer(joinStagger)
+		defer t.Stop()
+		stagger = t.C
+	}
+	for *pending > 0 {
+		select {
+		case answered := <-answers:
+			*pending--
+			if answered {
+				return true
 			}
-			b.configuration.board.RaiseHighestNumber(reply.GetHighestSeen())
-			answered.Store(true)
-		})
+		case <-stagger:
+			return false
+		}
 	}
-	wg.Wait()
-	return answered.Load()
+	return false
+}
+
+// joinOne sends a join request and reports whether it was answered.
+func (b *bootstrapper) joinOne(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, b.joinTimeout)
+	defer cancel()
+	reply, err := b.sendJoin(ctx, address)
+	if err != nil {
+		b.logger.Debug("join failed", "address", address, "err", err)
+		return false
+	}
+	b.configuration.board.RaiseHighestNumber(reply.GetHighestSeen())
+	return true
 }
 
 // checkReady returns why the node may not serve yet, or an empty string. The platform and a peer must have answered.
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -213,6 +213,7 @@
 	}
 	n.bootstrapper = newBootstrapper()
 	n.bootstrapper.members, n.bootstrapper.membership, n.bootstrapper.configuration = n.members, n.membership, n.configuration
+	n.bootstrapper.sendJoin = n.membership.join
 	n.bootstrapper.authoritative, n.bootstrapper.platformWait = n.overrides.authoritative, s.Platform().StartWait()
 	n.bootstrapper.seeds, n.bootstrapper.now, n.bootstrapper.logger = n.seeds, n.now, n.logger
 }
@@ -330,7 +331,7 @@
 	n.stopping.Store(true)
 	n.logger.Info("stopping", "grace_period", n.overrides.gracePeriod, "drain_timeout", n.overrides.drainTimeout)
 	n.admitter.setShutdownTime(n.now().Add(n.overrides.drainTimeout - lingerTime))
-	ctx, cancel := context.WithTimeout(context.Background(), n.overrides.drainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(n.overrides.drainTimeout-lingerTime, 0))
 	defer cancel()
 	shutdown := make(chan error, 1)
 	go func() { shutdown <- n.entry.Shutdown(ctx) }()
