--- a/baobabaccount/freshness.go
+++ b/baobabaccount/freshness.go
@@ -33,6 +33,7 @@
 	TargetSource      Target = iota // The source of configurations.
 	TargetFirst                     // The member of the failure domain that asks the source.
 	TargetSecond                    // The member that takes over from the first.
+	TargetThird                     // The member that takes over from the second.
 	TargetOtherDomain               // A member of another failure domain.
 )
 
@@ -43,20 +44,27 @@
 const (
 	PositionFirst Position = iota
 	PositionSecond
+	PositionThird
 	PositionOther
 )
 
-// Targets in the order in which a node with a stale proof asks them, by position, and those of a node without a proof.
+// Targets in the order in which a node with a stale proof asks them, by position, and those of a node without a proof. The
+// second and the third member turn to the source one and three requests later than the first member fails, so that the
+// others find a proof there. The first member stays in the list, because it may only wait for a slow source.
 var (
 	staleTargets = [][]Target{
 		PositionFirst:  {TargetOtherDomain, TargetSource},
-		PositionSecond: {TargetSource, TargetOtherDomain, TargetFirst},
-		PositionOther:  {TargetSecond, TargetOtherDomain, TargetSecond, TargetSource, TargetFirst},
+		PositionSecond: {TargetSource, TargetFirst, TargetOtherDomain},
+		PositionThird:  {TargetFirst, TargetSecond, TargetSource, TargetOtherDomain},
+		PositionOther: {
+			TargetFirst, TargetSecond, TargetFirst, TargetThird, TargetOtherDomain, TargetSecond, TargetSource,
+		},
 	}
 	firstTargets = [][]Target{
 		PositionFirst:  {TargetSource, TargetOtherDomain},
 		PositionSecond: {TargetFirst, TargetSource, TargetOtherDomain},
-		PositionOther:  {TargetFirst, TargetSecond, TargetOtherDomain, TargetSource},
+		PositionThird:  {TargetFirst, TargetSecond, TargetSource, TargetOtherDomain},
+		PositionOther:  {TargetFirst, TargetSecond, TargetThird, TargetOtherDomain, TargetSource},
 	}
 )
 
--- /dev/null
+++ b/baobabaccount/simulation_test.go
@@ -0,0 +1,147 @@
+package baobabaccount
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// proofSimulation runs the decisions of the nodes of two failure domains of equal size without a network. Membership does not
+// notice failures.
+type proofSimulation struct {
+	random      *rand.Rand
+	now         time.Duration
+	events      eventQueue
+	nodes       []*Freshness
+	size        int // Nodes per failure domain.
+	dead        func(node int) bool
+	sourceDown  func(node int) bool
+	sourceDelay time.Duration
+	sourceCalls int
+	confirming  map[int]bool  // Nodes whose confirmation is in progress.
+	oldest      time.Duration // Highest age of a proof at a living node after the start.
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any          { e := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return e }
+
+func newProofSimulation(size int, dead, sourceDown func(int) bool, sourceDelay time.Duration) *proofSimulation {
+	s := &proofSimulation{
+		random: rand.New(rand.NewPCG(1, 2)), size: size, dead: dead, sourceDown: sourceDown, sourceDelay: sourceDelay,
+		confirming: map[int]bool{},
+	}
+	for i := range 2 * size {
+		s.nodes = append(s.nodes, NewFreshness(testLimit))
+		s.after(time.Duration(s.random.Int64N(int64(time.Second))), func() {
+			s.nodes[i].Record(NewProof(1, s.now))
+			if !s.dead(i) {
+				s.step(i)
+			}
+		})
+	}
+	return s
+}
+
+func (s *proofSimulation) run(until time.Duration) {
+	for s.now < until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+}
+
+func (s *proofSimulation) after(d time.Duration, run func()) {
+	heap.Push(&s.events, event{s.now + d, run})
+}
+
+// step makes the next decision of a node, as accountController.run does.
+func (s *proofSimulation) step(i int) {
+	f, first := s.nodes[i], i/s.size*s.size
+	if age, ok := f.Age(s.now, 1); ok {
+		s.oldest = max(s.oldest, age)
+	}
+	before, _ := f.Newest()
+	target, due := f.Next(s.now, min(Position(i-first), PositionOther), s.random.Float64())
+	s.after(due-s.now, func() {
+		if newest, _ := f.Newest(); newest == before {
+			f.Asked(s.now)
+			s.ask(i, target, first)
+		}
+		s.step(i)
+	})
+}
+
+func (s *proofSimulation) ask(i int, target Target, first int) {
+	sent := s.now
+	other := [...]int{TargetFirst: first, TargetSecond: first + 1, TargetThird: first + 2, TargetOtherDomain: (first+s.size)%len(s.nodes) + s.random.IntN(s.size)}
+	if target == TargetSource {
+		if s.confirming[i] {
+			return
+		}
+		s.sourceCalls++
+		s.confirming[i] = true
+		s.after(s.sourceDelay, func() {
+			s.confirming[i] = false
+			if !s.sourceDown(i) {
+				s.nodes[i].Record(NewProof(1, sent))
+			}
+		})
+		return
+	}
+	if j := other[target]; j != i && !s.dead(j) {
+		s.after(15*time.Millisecond, func() {
+			if p, ok := s.nodes[j].Newest(); ok {
+				age := s.now - p.At()
+				s.after(15*time.Millisecond, func() { s.nodes[i].Record(NewReceivedProof(1, sent, age)) })
+			}
+		})
+	}
+}
+
+// TestProofCost guards against store calls that grow with the number of nodes, and against proofs that expire although a
+// member could pass one on. Nodes count from 0 in each failure domain, or over both for thirds.
+func TestProofCost(t *testing.T) {
+	const expires = testLimit - validityMargin
+	never := func(int) bool { return false }
+	third := func(i int) bool { return i%3 == 0 }
+	for _, size := range []int{10, 100} {
+		below := func(n int) func(int) bool { return func(i int) bool { return i%size < n } }
+		for _, c := range []struct {
+			name             string
+			dead, sourceDown func(node int) bool
+			sourceDelay      time.Duration
+			calls            float64       // Most store calls per second and failure domain.
+			oldest           time.Duration // Limit on the age of a proof.
+		}{
+			{"steady", never, never, 30 * time.Millisecond, 1, 1400 * time.Millisecond},
+			{"slow source", never, never, 600 * time.Millisecond, 1.5, 2500 * time.Millisecond},
+			{"very slow source", never, never, 1200 * time.Millisecond, 1.7, expires},
+			{"first dead", below(1), never, 30 * time.Millisecond, 1, 2500 * time.Millisecond},
+			{"first two dead", below(2), never, 30 * time.Millisecond, 1, expires},
+			{"first refused", never, below(1), 30 * time.Millisecond, 2.3, expires},
+			{"first two refused", never, below(2), 30 * time.Millisecond, 3, expires},
+			{"failure domain refused", never, func(i int) bool { return i < size }, 30 * time.Millisecond, 2, 2700 * time.Millisecond},
+			{"third dead", third, never, 30 * time.Millisecond, 1, 2500 * time.Millisecond},
+			{"third refused", never, third, 30 * time.Millisecond, 2, 2500 * time.Millisecond},
+		} {
+			s := newProofSimulation(size, c.dead, c.sourceDown, c.sourceDelay)
+			s.run(time.Minute)
+			calls := float64(s.sourceCalls) / s.now.Seconds() / 2
+			t.Logf("%s, %d nodes: %.2f store calls per second and failure domain, oldest proof %s", c.name, 2*size, calls, s.oldest)
+			if calls > c.calls || s.oldest > c.oldest {
+				t.Errorf("%s, %d nodes: want at most %.2f and %s", c.name, 2*size, c.calls, c.oldest)
+			}
+		}
+	}
+}
--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -182,14 +182,15 @@
 
 // positionIn returns the position of a node in the order of its failure domain.
 func positionIn(order []membership.Member, self string) account.Position {
-	switch {
-	case len(order) == 0 || order[0].ID() == self:
+	for i := range min(len(order), int(account.PositionOther)) {
+		if order[i].ID() == self {
+			return account.Position(i)
+		}
+	}
+	if len(order) == 0 {
 		return account.PositionFirst
-	case len(order) > 1 && order[1].ID() == self:
-		return account.PositionSecond
-	default:
-		return account.PositionOther
 	}
+	return account.PositionOther
 }
 
 // logValidity logs when requests with keys begin to be refused for want of proof, and when they are served again.
@@ -212,13 +213,9 @@
 	switch t {
 	case account.TargetSource:
 		a.confirm(ctx)
-	case account.TargetFirst:
-		if len(order) > 0 {
-			a.askMember(ctx, order[0], false)
-		}
-	case account.TargetSecond:
-		if len(order) > 1 {
-			a.askMember(ctx, order[1], false)
+	case account.TargetFirst, account.TargetSecond, account.TargetThird:
+		if i := int(t - account.TargetFirst); i < len(order) {
+			a.askMember(ctx, order[i], false)
 		}
 	case account.TargetOtherDomain:
 		if m, ok := a.otherDomainMember(); ok {
