--- a/baobabnode/accountcontroller_test.go
+++ b/baobabnode/accountcontroller_test.go
@@ -137,9 +137,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		served := make(chan error, 1)
+		served := make(chan struct{})
 		go func() {
-			served <- other.Serve(l, peer.HandlerFunc(func(_ context.Context, s *peer.Stream) {
+			defer close(served)
+			_ = other.Serve(l, peer.HandlerFunc(func(_ context.Context, s *peer.Stream) {
 				_, _ = s.Receive()
 				clock += c.delay
 				age := time.Second
@@ -156,7 +157,7 @@
 			t.Errorf("answer after %s: passed on with age %d us", c.delay, p.GetAgeUs())
 		}
 		_, _ = a.transport.Close(), other.Close()
-		_ = <-served
+		<-served
 	}
 }
 
