--- a/baobabnode/bodygranter.go
+++ b/baobabnode/bodygranter.go
@@ -1,6 +1,7 @@
 package baobabnode
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,12 +18,17 @@
 type bodyGranter struct {
 	admitter  *Admitter
 	transfers *transferMeter
+	schedule  *linkSchedule
 	pending   atomic.Int64 // Calls whose body is in transfer.
 }
 
-// grant asks the sender for the body of a call, or returns a refusal of the call. The returned function ends the transfer
-// and must be called; the stream is reset if that does not happen before the deadline.
-func (g *bodyGranter) grant(now time.Time, s *peer.Stream, c *wire.Call) (func(), *call.Refusal) {
+// maxGrantDelay bounds how long a body waits for its place on the link. It is below grantWait, after which the sender takes
+// this node as unreachable.
+const maxGrantDelay = 700 * time.Millisecond
+
+// grant asks the sender for the body of a call once the link has room for it, or returns a refusal of the call. The returned
+// function ends the transfer and must be called; the stream is reset if that does not happen before the deadline.
+func (g *bodyGranter) grant(ctx context.Context, now time.Time, s *peer.Stream, c *wire.Call) (func(), *call.Refusal) {
 	if refusal := g.check(now, c); refusal != nil {
 		g.transfers.refused.Inc()
 		return nil, refusal
@@ -39,6 +45,7 @@
 		g.transfers.receiving.Add(-size)
 		g.pending.Add(-1)
 	})
+	sleep(ctx, g.schedule.reserve(now, size))
 	// A failure to send shows when the body is received.
 	_ = s.Send(&wire.Envelope{Body: &wire.Envelope_CallGrant{CallGrant: &wire.CallGrant{}}})
 	return end, nil
@@ -59,10 +66,21 @@
 		caller = c.GetCaller()
 	}
 	r := admission.NewRequest(c.GetRank(), caller, deadline, kindOf(c.GetMethod(), c.GetTarget()))
+	if c.GetHasTarget() {
+		r = r.WithObjective(now.Add(time.Duration(c.GetTargetRemainingUs()) * time.Microsecond))
+	}
+	delay := g.schedule.wait(now)
 	if c.GetFreeSlotOnly() {
+		if delay > 0 {
+			return call.NewRefusal(call.ReasonNoFreeSlot, call.OutcomeNotRun, "the link has no room for the body now")
+		}
 		r = r.WithFreeSlotOnly()
 	}
-	return g.admitter.gate.Preview(now, r, int(g.pending.Load()), g.transfers.receiveTime(c.GetBodySize()))
+	if delay > maxGrantDelay {
+		const detail = "the bodies of earlier calls fill the link"
+		return call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, detail).WithRetryAfter(delay)
+	}
+	return g.admitter.gate.Preview(now, r, int(g.pending.Load()), delay+g.transfers.transferTime(c.GetBodySize()))
 }
 
 // remainingTime returns the time until the deadline of a call from another node.
--- a/baobabnode/bodytransfer_test.go
+++ b/baobabnode/bodytransfer_test.go
@@ -35,6 +35,7 @@
 	board.SetUpstream(blackboard.NewUpstream(a, upstream.StateReady, nil, nil))
 	return &bodyGranter{
 		admitter: &Admitter{board: board, gate: gate}, transfers: newTransferMeter(8<<10, 1<<20, metrics.NewSet()),
+		schedule: newLinkSchedule(1 << 20),
 	}
 }
 
@@ -75,7 +76,7 @@
 			received := 0
 			if c.handle == nil {
 				c.handle = func(s *peer.Stream, m *wire.Call) {
-					end, refusal := g.grant(time.Now(), s, m)
+					end, refusal := g.grant(t.Context(), time.Now(), s, m)
 					if refusal == nil {
 						if r, err := receiveCall(time.Now(), s, m, 1<<20); err == nil {
 							received = len(r.call.Body())
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -243,7 +243,9 @@
 	}
 	transfers := newTransferMeter(s.Balance().GrantBodySize().Bytes(), s.Balance().LinkBytesPerSecond(), n.metrics)
 	n.peerHandler = &peerHandler{
-		bodies:   &bodyGranter{admitter: n.admitter, transfers: transfers},
+		bodies: &bodyGranter{
+			admitter: n.admitter, transfers: transfers, schedule: newLinkSchedule(s.Balance().LinkBytesPerSecond()),
+		},
 		admitter: n.admitter, configuration: n.configuration, membership: n.membership, broadcaster: n.membership.broadcaster,
 		quarantine: n.quarantine, accounts: n.accounts, limits: n.limits, rollouts: n.rollouts, status: status, maxBodyBytes: s.Limits().MaxBodySize().Bytes(),
 		bodyMemory: call.NewBodyMemory(s.Limits().BodyMemory().Bytes()), now: n.now, logger: n.logger,
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -129,7 +129,7 @@
 	bodyArrived := func() {}
 	if c.GetGrantFirst() && size <= h.maxBodyBytes {
 		var refusal *call.Refusal
-		if bodyArrived, refusal = h.bodies.grant(h.now(), s, c); refusal != nil {
+		if bodyArrived, refusal = h.bodies.grant(ctx, h.now(), s, c); refusal != nil {
 			m := toWireAnswer(nil, refusal, h.admitter.Load(h.now()))
 			h.admitter.rate.addTo(h.now(), m.GetLoad(), c)
 			_ = s.SendWithBody(&wire.Envelope{Body: &wire.Envelope_CallAnswer{CallAnswer: m}}, nil)
