--- a/baobabaccount/freshness.go
+++ b/baobabaccount/freshness.go
@@ -64,7 +64,10 @@
 		PositionFirst:  {TargetSource, TargetOtherDomain},
 		PositionSecond: {TargetFirst, TargetSource, TargetOtherDomain},
 		PositionThird:  {TargetFirst, TargetSecond, TargetSource, TargetOtherDomain},
-		PositionOther:  {TargetFirst, TargetSecond, TargetThird, TargetOtherDomain, TargetSource},
+		PositionOther: {
+			TargetFirst, TargetSecond, TargetThird, TargetOtherDomain, TargetFirst, TargetSecond, TargetThird,
+			TargetOtherDomain, TargetSource,
+		},
 	}
 )
 
