--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -299,6 +299,13 @@
 	return g.counters.refusals()
 }
 
+// OverloadedSince returns since when a rank is overloaded, or the zero time.
+func (g *Gate) OverloadedSince(now time.Time, rank string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.OverloadedSince(now, rank)
+}
+
 // Granted returns the number of permits granted to the rank.
 func (g *Gate) Granted(rank string) uint64 {
 	g.mu.Lock()
--- a/baobabadmission/objective.go
+++ b/baobabadmission/objective.go
@@ -11,7 +11,7 @@
 	// return. The rest is for calls that arrive for the first time.
 	returnShare = 0.5
 	// maxReturnDelay bounds Retry-After.
-	maxReturnDelay = 4 * time.Second
+	maxReturnDelay = 2 * time.Second
 )
 
 // newEntry returns the entry of a request that has arrived.
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -39,6 +39,18 @@
 // Policy returns the policy in effect.
 func (q *Queue) Policy() Policy { return q.policy }
 
+// overloadReportTime is how long a rank is reported as overloaded after its last grant, because only grants end the state.
+const overloadReportTime = 5 * time.Second
+
+// OverloadedSince returns since when calls of a rank wait so long that the rank counts as overloaded, or the zero time.
+func (q *Queue) OverloadedSince(now time.Time, rank string) time.Time {
+	r := q.ranks[q.policy.rankIndex(rank)]
+	if !r.overloaded || now.Sub(r.lastGrant) > overloadReportTime {
+		return time.Time{}
+	}
+	return r.lastShortWait
+}
+
 // Len returns the number of waiting entries.
 func (q *Queue) Len() int { return q.length }
 
@@ -131,6 +143,9 @@
 	if target <= 0 || !q.ranks[e.rank].overloaded {
 		return nil
 	}
+	if q.objectiveOrder && !e.request.objective.IsZero() {
+		return nil // See objectiveRefusal.
+	}
 	// Half of the time that a slow call leaves of the target keeps the slots busy and allows for varying service times.
 	// With all of that time, or with half the target, half of the answers of a saturated upstream were late. The lower
 	// bound of target/8 keeps an upstream that is slower than the target from stopping all work.
--- a/baobabnode/dependencycontroller.go
+++ b/baobabnode/dependencycontroller.go
@@ -130,14 +130,10 @@
 // writeMetrics writes the state of each kind of root. Kinds come from calls, and their number is bounded.
 func (d *dependencyController) writeMetrics(w io.Writer) {
 	for _, k := range d.tracker.Kinds() {
-		since := 0.0
-		if !k.ShortSince().IsZero() {
-			since = float64(k.ShortSince().UnixNano()) / 1e9
-		}
 		_, _ = fmt.Fprintf(w, "baobab_dependency_root_share{root=%q} %g\n", k.Name(), k.Share())
 		_, _ = fmt.Fprintf(w, "baobab_dependency_roots_refused_total{root=%q} %d\n", k.Name(), k.Refused())
 		_, _ = fmt.Fprintf(w, "baobab_dependency_roots_started_total{root=%q} %d\n", k.Name(), k.Started())
-		_, _ = fmt.Fprintf(w, "baobab_dependency_short_since_timestamp_seconds{root=%q,service=%q} %.3f\n", k.Name(), k.ShortOf(), since)
+		_, _ = fmt.Fprintf(w, "baobab_dependency_short_since_timestamp_seconds{root=%q,service=%q} %.3f\n", k.Name(), k.ShortOf(), unixSeconds(k.ShortSince()))
 		for _, s := range k.Services() {
 			_, _ = fmt.Fprintf(w, "baobab_dependency_nested_seconds{root=%q,service=%q} %g\n", k.Name(), s.Service(), s.Latency().Seconds())
 			for _, e := range dependency.Endings() {
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
 	upstream "github.com/baobabdale/baobabdale/baobabupstream"
@@ -70,9 +71,18 @@
 	}
 	for _, r := range p.Ranks() {
 		_, _ = fmt.Fprintf(w, "baobab_admission_granted_total{rank=%q} %d\n", r.Name(), n.gate.Granted(r.Name()))
+		_, _ = fmt.Fprintf(w, "baobab_admission_overloaded_since_timestamp_seconds{rank=%q} %.3f\n", r.Name(), unixSeconds(n.gate.OverloadedSince(n.now(), r.Name())))
 	}
 }
 
+// unixSeconds returns a time in Unix seconds, or 0 for the zero time.
+func unixSeconds(t time.Time) float64 {
+	if t.IsZero() {
+		return 0
+	}
+	return float64(t.UnixNano()) / 1e9
+}
+
 // upstreamInState returns 1 if the local upstream is in the given state, and 0 if it is not or if there is none.
 func (n *Node) upstreamInState(s upstream.State) float64 {
 	if u := n.board.Upstream(); u != nil && u.State() == s {
