--- a/baobabproof/withdrawnkey_test.go
+++ b/baobabproof/withdrawnkey_test.go
@@ -26,10 +26,10 @@
 	withdrawn map[string]time.Time // When the store had acknowledged the withdrawal, by key.
 }
 
-func newKeyTest(t *testing.T, options ...baobabemulator.MeshOption) *keyTest {
+// newKeyTest starts a mesh whose nodes all have an account with the keys in force.
+func newKeyTest(t *testing.T, keys ...string) *keyTest {
 	t.Helper()
-	m := startMesh(t, "booking", append(options, baobabemulator.WithMeshNodeSettings(withdrawalSettings),
-		baobabemulator.WithMeshEmbeddedUpstreams())...)
+	m := startMesh(t, "booking", baobabemulator.WithMeshNodeSettings(withdrawalSettings), baobabemulator.WithMeshEmbeddedUpstreams())
 	k := &keyTest{t: t, m: m, caller: baobabemulator.NewCaller(t.Name()), withdrawn: map[string]time.Time{}}
 	var err error
 	if k.editor, err = m.NewConfigurationEditor(m.NodesInDomain(1)...); err != nil {
@@ -40,6 +40,10 @@
 		k.caller.Close()
 		k.check()
 	})
+	ctx := testContext(t)
+	if err := m.WaitInForce(ctx, k.setKeys(ctx, keys...).Number); err != nil {
+		t.Fatal(err)
+	}
 	return k
 }
 
@@ -100,10 +104,9 @@
 func TestWithdrawnKey(t *testing.T) {
 	t.Parallel()
 	const cutDomain = 3
-	k := newKeyTest(t)
+	k := newKeyTest(t, "kept", "first", "second")
 	ctx := testContext(t)
 	cut, near := k.m.NodesInDomain(cutDomain), k.m.NodesInDomain(1)
-	k.setKeys(ctx, "kept", "first", "second")
 	for _, n := range k.m.Nodes() {
 		k.waitResult(ctx, n, "first", "")
 		k.waitResult(ctx, n, "unknown", "unauthorized")
@@ -127,6 +130,7 @@
 		k.waitResult(ctx, n, "kept", "")
 		k.waitResult(ctx, n, "first", "unauthorized")
 	}
+	ctx = testContext(t)
 	paused := near[1]
 	paused.NodeProcess().Pause()
 	k.setKeys(ctx, "kept")
@@ -142,9 +146,8 @@
 // announces the version: only a conditional transaction shows it.
 func TestWithdrawnKeyStaleReads(t *testing.T) {
 	t.Parallel()
-	k := newKeyTest(t)
+	k := newKeyTest(t, "kept", "first")
 	ctx := testContext(t)
-	k.setKeys(ctx, "kept", "first")
 	for _, n := range k.m.Nodes() {
 		k.waitResult(ctx, n, "first", "")
 	}
