--- a/baobabnode/bodysender.go
+++ b/baobabnode/bodysender.go
@@ -20,6 +20,8 @@
 	// bodyChunkBytes is the size of the parts in which a granted body is sent. A short call on the same link waits for one
 	// part at most, which takes 6.6 ms at 10 Mbit/s.
 	bodyChunkBytes = 8 << 10
+	// bodyShare is the share of the link's speed at which bodies are sent. The rest carries short calls meanwhile.
+	bodyShare = 0.8
 )
 
 // errLinkBusy means that other bodies take the link until the deadline.
@@ -36,7 +38,7 @@
 	b := &bodySender{transfers: m, now: now}
 	if m.bytesPerSecond > 0 {
 		// Bodies that are handed over faster fill the buffers of the connection, where short calls wait behind them.
-		b.pace = rate.NewLimiter(rate.Limit(m.bytesPerSecond), 2*bodyChunkBytes)
+		b.pace = rate.NewLimiter(rate.Limit(bodyShare*float64(m.bytesPerSecond)), 2*bodyChunkBytes)
 	}
 	return b
 }
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -155,6 +155,7 @@
 		peer.WithMaxMessageBytes(int(s.Limits().MaxMessageSize().Bytes())),
 		peer.WithSameDomain(n.sameDomain),
 		peer.WithKeepAlive(s.Peers().KeepAlive()),
+		peer.WithMaxUnsentBytes(maxUnsentBytes(s.Balance())),
 		peer.WithConnectWait(s.Peers().ConnectWait()),
 		peer.WithDial(dialerFrom(s.Listen().Peer())),
 		peer.WithAuthFailureHandler(n.refusalLog.linkRefused),
--- a/baobabnode/offerplans.go
+++ b/baobabnode/offerplans.go
@@ -29,3 +29,15 @@
 	}
 	return plan
 }
+
+// unsentBytes is how many bytes of a link wait in the buffer of the operating system where large bodies are limited: two
+// parts of a body.
+const unsentBytes = 2 * bodyChunkBytes
+
+// maxUnsentBytes returns the limit for a node with the given settings, or zero for none.
+func maxUnsentBytes(b settings.Balance) int {
+	if b.GrantBodySize() == 0 {
+		return 0
+	}
+	return unsentBytes
+}
--- a/baobabpeer/options.go
+++ b/baobabpeer/options.go
@@ -39,6 +39,7 @@
 	requestTimeout   time.Duration
 	keepAlive        time.Duration
 	connectWait      time.Duration
+	maxUnsentBytes   int // Zero: no limit.
 	dial             func(ctx context.Context, address string) (net.Conn, error)
 	sameDomain       func(address string) bool
 	metricSet        *metrics.Set
@@ -115,6 +116,10 @@
 	return func(o *options) { o.connectWait = d }
 }
 
+// WithMaxUnsentBytes limits the bytes of a link that wait in the operating system's buffer, so that a short message waits
+// behind at most so many bytes of long bodies. Zero sets no limit.
+func WithMaxUnsentBytes(n int) Option { return func(o *options) { o.maxUnsentBytes = n } }
+
 // WithDial replaces the function that connects to an address, for example to map it to another address.
 func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
 	return func(o *options) { o.dial = dial }
--- a/baobabpeer/transport.go
+++ b/baobabpeer/transport.go
@@ -175,6 +175,7 @@
 
 func (t *Transport) acceptLink(c net.Conn) (*link, error) {
 	setNoDelay(c)
+	_ = limitUnsent(c, t.options.maxUnsentBytes) // Without the limit the link works as well.
 	_ = c.SetDeadline(time.Now().Add(t.options.dialTimeout))
 	ctx, cancel := context.WithTimeout(t.context, t.options.dialTimeout)
 	defer cancel()
@@ -358,6 +359,7 @@
 	// Closing the connection interrupts the handshake when the transport closes, which the connection deadline does not.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	setNoDelay(c)
+	_ = limitUnsent(c, t.options.maxUnsentBytes) // Without the limit the link works as well.
 	_ = c.SetDeadline(time.Now().Add(t.options.dialTimeout))
 	secure, err := t.credentials.clientHandshake(ctx, c)
 	if err == nil && !stop() {
--- a/baobabroute/distanceplan.go
+++ b/baobabroute/distanceplan.go
@@ -18,6 +18,15 @@
 // of the capacity, more calls went to other regions than without any limit.
 const minRegionRefusals = 2
 
+// freeUtilization is the utilization below which an endpoint probably has a free slot. Offers beyond the first two go only
+// to such endpoints: without that, a call took 0.04 messages more at half of the capacity and 0.13 more at 70% of it, for
+// less than 0.01 fewer calls that wait beside a free slot.
+const freeUtilization = 0.9
+
+// minFreeReportWeight is the least weight of a report that shows free slots, which it has for 700 ms. In a mesh of 1,000
+// nodes most reports are older, and a third offer by them took calls to 3.90 messages at 70% of the capacity, from 3.72.
+const minFreeReportWeight = 0.5
+
 // nextByDistance returns the next offer where leaving the failure domain is limited. Free slots are asked for in the own
 // failure domain, then once in each farther tier that is worth its distance. The call then queues, as near as possible.
 func (p *OfferPlan) nextByDistance(h choice) (Offer, *call.Refusal) {
@@ -64,6 +73,9 @@
 	if !ok || s.overloaded {
 		return Offer{}, false
 	}
+	if p.nearOffers >= maxNearOffers && !p.looksFree(h.now, s) {
+		return Offer{}, false
+	}
 	p.nearOffers++
 	return Offer{candidate: *s.candidate, freeSlotOnly: true}, true
 }
@@ -128,6 +140,12 @@
 	return *best.candidate
 }
 
+// looksFree reports whether an endpoint had free slots a short time ago.
+func (p *OfferPlan) looksFree(now time.Time, s scoredCandidate) bool {
+	snapshot := p.chooser.stats.Snapshot(now, s.candidate.id)
+	return snapshot.reportWeight > minFreeReportWeight && snapshot.utilization(s.candidate.slots) < freeUtilization
+}
+
 func (p *OfferPlan) degraded(now time.Time, s scoredCandidate) bool {
 	return p.chooser.stats.Snapshot(now, s.candidate.id).degraded()
 }
--- a/baobabroute/endpointsnapshot.go
+++ b/baobabroute/endpointsnapshot.go
@@ -21,6 +21,7 @@
 type EndpointSnapshot struct {
 	inFlight            int           // Calls from this node.
 	reportedCalls       float64       // Running and queued in the last report, decayed by its age, and started since.
+	reportWeight        float64       // Of the last report by its age; 1: new, zero: none.
 	limit               int           // Reported concurrency limit; zero: unknown.
 	queueWait           time.Duration // Reported wait, decayed by the age of the report.
 	latency             time.Duration // Zero: unknown.
--- a/baobabroute/endpointstats.go
+++ b/baobabroute/endpointstats.go
@@ -257,7 +257,7 @@
 		f := decayFactor(now.Sub(e.loadAt), loadDecayTime)
 		s.reportedCalls = float64(e.load.inFlight+e.load.queued)*f + float64(e.startedSinceReport)
 		s.queueWait = time.Duration(float64(e.load.wait) * f)
-		s.limit = e.load.limit
+		s.limit, s.reportWeight = e.load.limit, f
 	}
 	return s
 }
--- a/baobabsettings/balance.go
+++ b/baobabsettings/balance.go
@@ -12,7 +12,7 @@
 // Balance holds the settings of the distribution of calls over endpoints. Without them, bodies are sent with their calls.
 type Balance struct {
 	grantBodySize Size
-	linkMegabits  int
+	linkMegabits  float64
 	domainSaving  time.Duration
 	regionSaving  time.Duration
 	rates         bool
@@ -21,7 +21,7 @@
 func readBalance(r *reader) Balance {
 	b := Balance{
 		grantBodySize: r.size("balance", "grant_body_size", 0, 0, GiB),
-		linkMegabits:  r.integer("balance", "link_mbps", 0, 0, maxLinkMegabits),
+		linkMegabits:  r.number("balance", "link_mbps", 0, 0, maxLinkMegabits),
 		domainSaving:  r.duration("balance", "leave_domain_saving", 0, 0, time.Minute),
 		regionSaving:  r.duration("balance", "leave_region_saving", 0, 0, time.Minute),
 		rates:         r.choice("balance", "rates", "off", "on", "off") == "on",
@@ -37,7 +37,7 @@
 func (b Balance) GrantBodySize() Size { return b.grantBodySize }
 
 // LinkBytesPerSecond returns the speed of the VM's network link in each direction, or zero if it is not known.
-func (b Balance) LinkBytesPerSecond() int64 { return int64(b.linkMegabits) * bytesPerMegabit }
+func (b Balance) LinkBytesPerSecond() int64 { return int64(b.linkMegabits * bytesPerMegabit) }
 
 // LeaveDomainSaving returns the wait that a call must save by going to another failure domain of its region.
 func (b Balance) LeaveDomainSaving() time.Duration { return b.domainSaving }
--- a/baobabsettings/reader.go
+++ b/baobabsettings/reader.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -236,6 +237,17 @@
 	return parseBounded(r, section, key, "a whole number", strconv.Atoi, defaultValue, lowest, highest)
 }
 
+func (r *reader) number(section, key string, defaultValue, lowest, highest float64) float64 {
+	parse := func(s string) (float64, error) {
+		v, err := strconv.ParseFloat(s, 64)
+		if err == nil && math.IsNaN(v) {
+			err = strconv.ErrSyntax
+		}
+		return v, err
+	}
+	return parseBounded(r, section, key, "a number", parse, defaultValue, lowest, highest)
+}
+
 // parseBounded returns the value of a key between two bounds, or the default value if there is none or after a problem.
 func parseBounded[T cmp.Ordered](r *reader, section, key, format string, parse func(string) (T, error),
 	defaultValue, lowest, highest T) T {
--- a/baobabsettings/settings_test.go
+++ b/baobabsettings/settings_test.go
@@ -91,6 +91,9 @@
 		want     []string
 	}{
 		{"unknown key", "", "[call]\nspeed = 1\n", []string{"[call] speed: unknown key"}},
+		{"no number", "", "[balance]\nlink_mbps = NaN\n", []string{"[balance] link_mbps: \"NaN\" is not a number"}},
+		{"near costs more than far", "", "[balance]\nleave_domain_saving = 20ms\n", []string{
+			"[balance] leave_region_saving: 0s is shorter than leave_domain_saving 20ms"}},
 		{"unknown section", "", "[coffee]\n", []string{"[coffee]: unknown section"}},
 		{"child section", "", "[node.a]\nid = x\n", []string{"[node.a]: unknown section"}},
 		{"no section", "[node]", "x = 1\n[node]", []string{"key x is outside of a section"}},
