--- a/baobabnode/bodygranter.go
+++ b/baobabnode/bodygranter.go
@@ -12,10 +12,6 @@
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
-// busyLinkTime is how long the bodies in transfer may take before the link has no room for one that looks for a free slot.
-// A body of 120 kB takes that long at 10 Mbit/s.
-const busyLinkTime = 100 * time.Millisecond
-
 // A bodyGranter decides whether the body of a call from another node is sent. It asks for the body if the call would get
 // a slot, or a place in the queue from which it is served in time. The call asks for its slot only when the body has
 // arrived: a slot that is held during the transfer, of 50 ms for 60 kB at 10 Mbit/s, serves nobody.
@@ -65,9 +61,6 @@
 	if g.admitter.shutsDownBefore(deadline) {
 		return call.NewRefusal(call.ReasonDraining, call.OutcomeNotRun, "the node is stopping")
 	}
-	if c.GetFreeSlotOnly() && g.transfers.receiveTime(0) > busyLinkTime {
-		return call.NewRefusal(call.ReasonNoFreeSlot, call.OutcomeNotRun, "the link has no room for another body")
-	}
 	caller := c.GetAccount()
 	if caller == "" {
 		caller = c.GetCaller()
--- a/baobabnode/transfermeter.go
+++ b/baobabnode/transfermeter.go
@@ -42,11 +42,7 @@
 	return m.transferTime(m.sending.Load() + size)
 }
 
-// receiveTime is like sendTime for a body from another node.
-func (m *transferMeter) receiveTime(size int64) time.Duration {
-	return m.transferTime(m.receiving.Load() + size)
-}
-
+// transferTime returns how long a number of bytes takes on the link, or zero if its speed is not known.
 func (m *transferMeter) transferTime(bytes int64) time.Duration {
 	if m.bytesPerSecond <= 0 {
 		return 0
--- a/baobabsettings/reader.go
+++ b/baobabsettings/reader.go
@@ -267,18 +267,6 @@
 	return v
 }
 
-// number returns a finite number that may have a fraction.
-func (r *reader) number(section, key string, defaultValue, lowest, highest float64) float64 {
-	parse := func(text string) (float64, error) {
-		v, err := strconv.ParseFloat(text, 64)
-		if math.IsNaN(v) {
-			return 0, strconv.ErrSyntax
-		}
-		return v, err
-	}
-	return parseBounded(r, section, key, "a number", parse, defaultValue, lowest, highest)
-}
-
 // choice returns a value that must be one of the options.
 func (r *reader) choice(section, key, defaultValue string, options ...string) string {
 	v, ok := r.value(section, key)
