--- a/baobabcaller/refusal.go
+++ b/baobabcaller/refusal.go
@@ -27,6 +27,9 @@
 	if r.RetryAfter() > 0 {
 		header.Set("Retry-After", h.formatRetryAfter(r.RetryAfter()))
 	}
+	if r.Reason() == call.ReasonUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer") // Required with 401 (RFC 9110, section 15.5.2).
+	}
 	if h.closesConnection(conn) {
 		header.Set("Connection", "close")
 	}
--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -27,6 +27,8 @@
 	proofRole = "proof"
 	// proofTimeout bounds a request for a proof. A late answer is still useful, because several requests run at a time.
 	proofTimeout = 1500 * time.Millisecond
+	// startQuiet is how long a starting node may lack proof before that is logged.
+	startQuiet = 2 * time.Second
 	// proofExpiredRetryAfter is when a call that was refused for want of proof may return.
 	proofExpiredRetryAfter = time.Second
 )
@@ -43,7 +45,7 @@
 	logger        *log.Logger
 
 	confirming atomic.Bool // A confirmation by the source is in progress.
-	refusing   bool        // Used by run only; the last check found no valid proof.
+	refusing   bool        // Used by run only; the log says that requests with keys are refused.
 }
 
 // newAccountController returns a controller whose configuration must be set before it runs.
@@ -149,6 +151,7 @@
 	if !a.freshness.Enabled() {
 		return nil
 	}
+	started := a.bootTime()
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	for ctx.Err() == nil {
@@ -160,7 +163,7 @@
 			}
 			continue
 		}
-		a.logValidity()
+		a.logValidity(a.bootTime() - started)
 		order := a.members.rendezvousOrder(proofRole, a.members.selfRecord().FailureDomain())
 		before, _ := a.freshness.Newest()
 		target, due := a.freshness.Next(a.bootTime(), positionIn(order, a.members.self), rand.Float64())
@@ -193,10 +196,11 @@
 	return account.PositionOther
 }
 
-// logValidity logs when requests with keys begin to be refused for want of proof, and when they are served again.
-func (a *accountController) logValidity() {
+// logValidity logs when requests with keys begin to be refused for want of proof, and when they are served again. The node
+// has been running for some time.
+func (a *accountController) logValidity(running time.Duration) {
 	v := a.proofView()
-	if v == nil || v.Valid != a.refusing {
+	if v == nil || v.Valid != a.refusing || running < startQuiet {
 		return
 	}
 	a.refusing = !v.Valid
