--- a/baobabnode/rolloutcontroller.go
+++ b/baobabnode/rolloutcontroller.go
@@ -48,13 +48,14 @@
 
 	orderPollInterval time.Duration // Between reads of the orders; 0: a source hands them on.
 
-	store       rolloutStore
-	broadcaster *broadcaster
-	transport   *peer.Transport
-	metrics     *metrics.Set
-	evidence    *rolloutEvidence
-	reports     *rolloutReports
-	wake        chan struct{} // Receives a value when a new stage is known.
+	store    rolloutStore
+	publish  func(*wire.RolloutUpdate) // Broadcasts records.
+	report   func(decider string, m *wire.RolloutEvidence) (*wire.RolloutEvidenceAck, error)
+	spawn    func(func()) // Runs a function in the background.
+	metrics  *metrics.Set
+	evidence *rolloutEvidence
+	reports  *rolloutReports
+	wake     chan struct{} // Receives a value when a new stage is known.
 
 	mu       sync.Mutex
 	splits   map[string]*rollout.Split  // Guarded by mu; by service.
@@ -73,8 +74,20 @@
 
 // connect sets what the controller needs to decide roll-outs and to report evidence.
 func (c *rolloutController) connect(store platform.Store, b *broadcaster, t *peer.Transport, m *metrics.Set) {
-	c.store, c.broadcaster, c.transport = rolloutStore{store: store, now: c.now}, b, t
-	c.metrics = m
+	c.store, c.metrics, c.spawn = rolloutStore{store: store, now: c.now}, m, b.goTracked
+	c.publish = func(u *wire.RolloutUpdate) {
+		b.broadcast(&wire.Broadcast{Update: &wire.Broadcast_Rollouts{Rollouts: u}})
+	}
+	c.report = func(decider string, m *wire.RolloutEvidence) (*wire.RolloutEvidenceAck, error) {
+		to, ok := c.members.member(decider)
+		if !ok {
+			return nil, errors.Errorf("report roll-out evidence: %s is not a member", decider)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), rolloutReportTimeout)
+		defer cancel()
+		reply, err := t.Request(ctx, to.PeerAddress(), &wire.Envelope{Body: &wire.Envelope_RolloutEvidence{RolloutEvidence: m}})
+		return reply.GetRolloutEvidenceAck(), errors.Wrap(err, "report roll-out evidence")
+	}
 }
 
 // run follows orders and decides stages until ctx ends.
@@ -83,7 +96,7 @@
 		return nil
 	}
 	if c.orderPollInterval > 0 {
-		c.broadcaster.goTracked(func() { c.pollOrders(ctx) })
+		c.spawn(func() { c.pollOrders(ctx) })
 	}
 	tick := time.NewTicker(rolloutInterval)
 	defer tick.Stop()
@@ -109,14 +122,6 @@
 	}
 }
 
-// send sends evidence to a decider and returns its answer.
-func (c *rolloutController) send(address string, m *wire.RolloutEvidence) (*wire.RolloutEvidenceAck, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), rolloutReportTimeout)
-	defer cancel()
-	reply, err := c.transport.Request(ctx, address, &wire.Envelope{Body: &wire.Envelope_RolloutEvidence{RolloutEvidence: m}})
-	return reply.GetRolloutEvidenceAck(), errors.Wrap(err, "report roll-out evidence")
-}
-
 // candidates returns the endpoints that a call may use, and the version that their upstreams must have (empty: any). It
 // returns set itself while the service has only one version.
 func (c *rolloutController) candidates(now time.Time, random *rand.Rand, set *route.CandidateSet) (*route.CandidateSet, string) {
@@ -243,7 +248,11 @@
 			c.logger.Info("version in use", "service", w.GetService(), "version", w.GetBaseline(), "held", now.Sub(at))
 		}
 	} else {
-		changed = s.Merge(fromWireRecord(w, at))
+		r := fromWireRecord(w, at)
+		changed = s.Merge(r)
+		if r.State() == rollout.StateRollingBack && before.Share() > 0 {
+			changed = s.Stop(r) || changed
+		}
 	}
 	if changed || !s.Record().Confirmed().Equal(before.Confirmed()) {
 		c.generation.Add(1)
@@ -309,7 +318,7 @@
 	decider := c.deciding[m.GetService()]
 	c.mu.Unlock()
 	if decider != nil {
-		decider.recordEvidence(m)
+		decider.recordEvidence(now, m)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/baobabnode/rolloutdecider.go
+++ b/baobabnode/rolloutdecider.go
@@ -27,6 +27,10 @@
 	rolloutRankDelay = 400 * time.Millisecond
 	// rolloutStoreTimeout bounds one store call of a decider.
 	rolloutStoreTimeout = 800 * time.Millisecond
+	// rolloutAckInterval is how often a member repeats its acknowledgement while all requests go to the target, and
+	// rolloutAckLimit the age from which it counts as missing.
+	rolloutAckInterval = 400 * time.Millisecond
+	rolloutAckLimit    = time.Second
 )
 
 // A rolloutDecider decides the stages of one service's roll-out while this node is its decider.
@@ -37,18 +41,26 @@
 	busy         bool      // A step is running.
 	orderedAt    time.Time // When this node learned of the order.
 	order        rollout.Order
-	owned        rollout.Record    // Last stage that this node wrote or took over; order 0: none.
-	revision     uint64            // Of the row with the owned stage.
-	startedAt    time.Time         // Of the roll-out, by this node's clock.
-	stagedAt     time.Time         // When the owned stage was written.
-	acksAt       time.Time         // When all live members had acknowledged it; zero: not yet.
-	acks         map[string]uint64 // Highest stage of the order that each member has acknowledged.
-	confirmedAt  time.Time         // When the store was last asked about the owned stage.
+	owned        rollout.Record             // Last stage that this node wrote or took over; order 0: none.
+	revision     uint64                     // Of the row with the owned stage.
+	startedAt    time.Time                  // Of the roll-out, by this node's clock.
+	stagedAt     time.Time                  // When the owned stage was written.
+	acksAt       time.Time                  // Since when all live members acknowledge it; zero: some do not.
+	missingAt    time.Time                  // Since when some do not; zero: all do.
+	remindedAt   time.Time                  // When members that do not acknowledge the stage were last sent it.
+	acks         map[string]acknowledgement // Last one of each member.
+	confirmedAt  time.Time                  // When the store was last asked about the owned stage.
 	judge        *rollout.Judge
 	stageAnswers uint64 // Answers of the target when the stage was written.
 	waiting      string // What the stage waits for.
 }
 
+// An acknowledgement is the stage that a member had in force at a time.
+type acknowledgement struct {
+	sequence uint64
+	at       time.Time
+}
+
 // owns reports whether this node decides the roll-out with the given record. It requires mu.
 func (d *rolloutDecider) owns(r rollout.Record) bool {
 	return d.owned.Order() > 0 && d.owned.SameStage(r) && d.owned.Decider() == r.Decider()
@@ -97,7 +109,7 @@
 		if !start {
 			continue
 		}
-		c.broadcaster.goTracked(func() {
+		c.spawn(func() {
 			c.decide(ctx, now, d)
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -118,7 +130,7 @@
 	d.mu.Lock()
 	if d.order != order {
 		d.order, d.orderedAt, d.owned = order, now, rollout.Record{}
-		d.judge, d.acks = nil, map[string]uint64{}
+		d.judge, d.acks = nil, map[string]acknowledgement{}
 	}
 	owns, orderedAt := d.owns(record), d.orderedAt
 	d.mu.Unlock()
@@ -194,7 +206,7 @@
 	c.metrics.GetOrCreateCounter(`baobab_rollout_stages_total{state="` + string(next.State()) + `"}`).Inc()
 	d.mu.Lock()
 	d.owned, d.revision, d.startedAt, d.stagedAt, d.confirmedAt = next, written, startedAt, sent, sent
-	d.acksAt = time.Time{}
+	d.acksAt, d.missingAt = time.Time{}, sent
 	if d.judge == nil {
 		d.judge = rollout.NewJudge(sent, next.Target(), next.Baseline())
 	}
@@ -266,18 +278,21 @@
 	in := c.inputs(now, d)
 	plan, owned, revision, startedAt := rollout.NewPlan(d.order.Duration()), d.owned, d.revision, d.startedAt
 	share, state, reason, ok := plan.Next(owned, in)
+	remind := owned.Share() == 1 && in.Missing > 0 && now.Sub(d.remindedAt) >= rolloutAckInterval
+	if remind {
+		d.remindedAt = now
+	}
 	d.waiting = plan.Waiting(owned, in)
 	d.mu.Unlock()
+	if remind {
+		c.spread(now, owned) // Some members may have missed the stage, and the store may be away.
+	}
 	if !ok {
 		return
 	}
 	next := owned.Next(share, state, reason, c.members.self, in.Elapsed, now)
 	if state == rollout.StateRollingBack {
-		c.spread(now, next)
-		c.mu.Lock()
-		c.splits[d.service].Stop(next.Order())
-		c.generation.Add(1)
-		c.mu.Unlock()
+		c.stop(now, owned)
 	}
 	c.writeStage(ctx, d, next, revision, startedAt, "since_stage", in.SinceStage, "since_acks", in.SinceAcks,
 		"answers", in.Verdict.Answers(), "stage_answers", in.StageAnswers, "suspicion", math.Round(100*in.Suspicion)/100,
@@ -292,8 +307,12 @@
 	}
 	in.StageAnswers = in.Verdict.Answers() - d.stageAnswers
 	missing := 0
+	if !d.owned.InForce(now) {
+		missing++
+		d.missingAt = now // The others have time to come back to the stage once the store confirms it.
+	}
 	for _, m := range c.members.liveMembers() {
-		if m.State() == membership.StateAlive && m.ID() != c.members.self && d.acks[m.ID()] < d.owned.Sequence() {
+		if m.State() == membership.StateAlive && m.ID() != c.members.self && !d.acknowledges(now, m.ID()) {
 			missing++
 		}
 		e, ok := m.Endpoint()
@@ -307,15 +326,27 @@
 			in.BaselineSlots += int(e.Slots())
 		}
 	}
-	if missing == 0 && d.acksAt.IsZero() {
-		d.acksAt = now
+	switch {
+	case missing > 0 && d.missingAt.IsZero():
+		d.acksAt, d.missingAt = time.Time{}, now
+	case missing == 0 && d.acksAt.IsZero():
+		d.acksAt, d.missingAt = now, time.Time{}
 	}
-	if !d.acksAt.IsZero() {
+	if missing == 0 {
 		in.SinceAcks = now.Sub(d.acksAt)
+	} else {
+		in.Missing = now.Sub(d.missingAt)
 	}
 	return in
 }
 
+// acknowledges reports whether a member has the stage in force. While all requests go to the target, a member repeats its
+// acknowledgement, because it may have restarted without the stage. It requires mu.
+func (d *rolloutDecider) acknowledges(now time.Time, member string) bool {
+	a := d.acks[member]
+	return a.sequence >= d.owned.Sequence() && (d.owned.Share() < 1 || now.Sub(a.at) < rolloutAckLimit)
+}
+
 // apply applies a stage that this node has written or read.
 func (c *rolloutController) apply(r rollout.Record) {
 	c.mu.Lock()
@@ -324,21 +355,33 @@
 	c.generation.Add(1)
 }
 
+// stop ends the requests for the target of a stage on all nodes, before the next stage is written.
+func (c *rolloutController) stop(now time.Time, stage rollout.Record) {
+	c.mu.Lock()
+	stopped := c.splits[stage.Service()].Stop(stage)
+	c.generation.Add(1)
+	c.mu.Unlock()
+	if !stopped {
+		return
+	}
+	w := toWireRecord(now, stage)
+	w.State, w.Share = string(rollout.StateRollingBack), 0
+	c.publish(&wire.RolloutUpdate{Records: []*wire.RolloutRecord{w}})
+}
+
 // spread broadcasts a stage.
 func (c *rolloutController) spread(now time.Time, r rollout.Record) {
-	c.broadcaster.broadcast(&wire.Broadcast{Update: &wire.Broadcast_Rollouts{
-		Rollouts: &wire.RolloutUpdate{Records: []*wire.RolloutRecord{toWireRecord(now, r)}},
-	}})
+	c.publish(&wire.RolloutUpdate{Records: []*wire.RolloutRecord{toWireRecord(now, r)}})
 }
 
 // recordEvidence adds a report of a node to the roll-out that this node decides.
-func (d *rolloutDecider) recordEvidence(m *wire.RolloutEvidence) {
+func (d *rolloutDecider) recordEvidence(now time.Time, m *wire.RolloutEvidence) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.judge == nil || d.owned.Order() != m.GetOrder() {
 		return
 	}
-	d.acks[m.GetFrom()] = max(d.acks[m.GetFrom()], m.GetSequence())
+	d.acks[m.GetFrom()] = acknowledgement{sequence: m.GetSequence(), at: now}
 	for _, v := range m.GetVersions() {
 		d.judge.Observe(m.GetFrom(), m.GetStart(), v.GetVersion(), v.GetKind(),
 			rollout.NewCounts(v.GetGood(), v.GetFailed(), v.GetLatencyCounts()))
--- a/baobabnode/rolloutevidence.go
+++ b/baobabnode/rolloutevidence.go
@@ -147,7 +147,7 @@
 
 // reportTo sends a report for one roll-out to its decider.
 func (c *rolloutController) reportTo(now time.Time, r rollout.Record) {
-	acknowledged, busy := c.reports.begin(r)
+	acknowledged, busy := c.reports.begin(now, r)
 	if busy {
 		return
 	}
@@ -156,23 +156,20 @@
 		m = c.evidence.report(r.Service(), c.members.self, !acknowledged)
 	}
 	if m == nil {
-		c.reports.end(r, false)
+		c.reports.end(now, r, false)
 		return
 	}
-	m.Sequence = r.Sequence()
+	if r.InForce(now) {
+		m.Sequence = r.Sequence()
+	}
 	if r.Decider() == c.members.self {
 		c.answerEvidence(now, m)
-		c.reports.end(r, true)
-		return
-	}
-	decider, ok := c.members.member(r.Decider())
-	if !ok {
-		c.reports.end(r, false)
+		c.reports.end(now, r, true)
 		return
 	}
-	c.broadcaster.goTracked(func() {
-		ack, err := c.send(decider.PeerAddress(), m)
-		c.reports.end(r, err == nil)
+	c.spawn(func() {
+		ack, err := c.report(r.Decider(), m)
+		c.reports.end(now, r, err == nil)
 		if err != nil {
 			c.logger.Debug("roll-out evidence not acknowledged", "service", r.Service(), "decider", r.Decider(), "err", err)
 			return
--- a/baobabrollout/judge.go
+++ b/baobabrollout/judge.go
@@ -168,7 +168,12 @@
 				steps++
 			}
 		}
-		if before.answers() < minBaselineAnswers {
+		near := Counts{}
+		for n := max(0, index-1); n <= min(index+1, len(j.intervals)-1); n++ {
+			near = near.plus(j.intervals[n].baseline[kind])
+		}
+		// An older comparison would take the start of a common cause for a fault, once the target gets all requests.
+		if near.answers() < minBaselineAnswers {
 			continue
 		}
 		if steps == 0 {
--- a/baobabrollout/plan.go
+++ b/baobabrollout/plan.go
@@ -20,8 +20,8 @@
 	minRoom = 0.8
 	// maxSuspicion is the suspicion from which the share does not rise.
 	maxSuspicion = 0.5
-	// AcknowledgeTime is how long the last step waits for members that do not acknowledge it.
-	AcknowledgeTime = time.Second
+	// acknowledgeTime is how long the last step waits for members that do not acknowledge it.
+	acknowledgeTime = time.Second
 	// drainTime is the time for calls at the old upstreams to end after all members have acknowledged the last step.
 	drainTime = 900 * time.Millisecond
 )
@@ -33,7 +33,8 @@
 type Inputs struct {
 	Elapsed       time.Duration // Since the order.
 	SinceStage    time.Duration // Since the stage in force was decided.
-	SinceAcks     time.Duration // Since all live members acknowledged the stage; negative: they have not.
+	SinceAcks     time.Duration // Since all live members acknowledge the stage; negative: some do not.
+	Missing       time.Duration // Since some do not.
 	Verdict       Verdict
 	Suspicion     float64 // From 0 to 1.
 	StageAnswers  uint64  // Of the target since the stage was decided.
@@ -65,7 +66,7 @@
 	case !r.Running():
 		return 0, "", "", false
 	case r.state == StateRollingBack:
-		if in.SinceAcks >= 0 || in.SinceStage >= AcknowledgeTime {
+		if in.SinceAcks >= 0 || in.Missing >= acknowledgeTime {
 			return 0, StateRolledBack, r.reason, true
 		}
 		return 0, "", "", false
@@ -88,7 +89,7 @@
 func (p Plan) complete(in Inputs) (share float64, state State, reason string, ok bool) {
 	acknowledged := in.SinceAcks
 	if acknowledged < 0 {
-		acknowledged = in.SinceStage - AcknowledgeTime
+		acknowledged = in.Missing - acknowledgeTime
 	}
 	if acknowledged < drainTime {
 		return 0, "", "", false
--- a/baobabrollout/record.go
+++ b/baobabrollout/record.go
@@ -105,6 +105,11 @@
 	return r
 }
 
+// InForce reports whether a node that knows the record at a time follows it. A stage that is too old is not followed.
+func (r Record) InForce(now time.Time) bool {
+	return r.share == 0 || !r.Running() || now.Sub(r.confirmed) < StageLimit
+}
+
 // NewerThan reports whether the record replaces o: it has the higher order, or a later stage of the same one.
 func (r Record) NewerThan(o Record) bool {
 	if r.order != o.order {
--- a/baobabrollout/simulation_test.go
+++ b/baobabrollout/simulation_test.go
@@ -249,6 +249,7 @@
 			Elapsed: now, SinceStage: now - stagedAt, SinceAcks: -1, Verdict: judge.Decide(at(now)), Suspicion: judge.Suspicion(),
 			TargetSlots: slots(now, half, len(s.nodes)), BaselineSlots: slots(now, 0, half),
 		}
+		in.Missing = now - stagedAt
 		if now >= acksAt {
 			in.SinceAcks = now - acksAt
 		}
--- a/baobabrollout/split.go
+++ b/baobabrollout/split.go
@@ -21,7 +21,7 @@
 	heldSince   time.Time
 	single      string // Only version seen since singleSince; empty: none or several.
 	singleSince time.Time
-	stopped     uint64 // Order whose target this node has stopped although its stage allows requests; 0: none.
+	stopped     Record // Stage whose target must not be used, because its decider is about to end it; order 0: none.
 }
 
 // NewSplit returns a split of a node that knows nothing about the service yet.
@@ -57,8 +57,15 @@
 	return false
 }
 
-// Stop ends the requests for the target of an order on this node.
-func (s *Split) Stop(order uint64) { s.stopped = order }
+// Stop ends the requests for the target of a stage before its decider has written the next one, because the store may be slow.
+// It reports whether that is new. A later stage takes precedence, also one of another decider that does not stop the target.
+func (s *Split) Stop(stage Record) bool {
+	if !stage.SameStage(s.record) || s.stopped.SameStage(stage) {
+		return false
+	}
+	s.stopped = stage
+	return true
+}
 
 // MergeHeld applies the version in use that another node holds since a time, and reports whether it replaces this node's.
 // The one held for longer wins.
@@ -111,7 +118,7 @@
 		others--
 	}
 	stage.unstated = others == 0 && (r.order == 0 || !r.Running())
-	if r.order == 0 || !r.Running() || r.order < s.order.revision || r.share == 0 || r.order == s.stopped {
+	if r.order == 0 || !r.Running() || r.order < s.order.revision || r.share == 0 || r.SameStage(s.stopped) {
 		return stage
 	}
 	stage.target, stage.share, stage.until = r.target, r.share, r.confirmed.Add(StageLimit)
