--- a/baobabcommand/arguments.go
+++ b/baobabcommand/arguments.go
@@ -15,6 +15,7 @@
 	Label    *labelGroup      `arg:"subcommand:label" help:"set, delete and list labels of services and upstreams"`
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
 	Policy   *policyGroup     `arg:"subcommand:policy" help:"set, delete, list and show policies"`
+	Rollout  *rolloutGroup    `arg:"subcommand:rollout" help:"start, abort and show roll-outs of versions"`
 	Route    *routeGroup      `arg:"subcommand:route" help:"set, delete, list and show routes"`
 	Selector *selectorGroup   `arg:"subcommand:selector" help:"set, delete, list and show selectors"`
 	Service  *serviceGroup    `arg:"subcommand:service" help:"set, delete, list and show services"`
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -257,8 +257,11 @@
 	status.refusals = handler.Refusals
 	n.entry = caller.NewHTTPServer(handler, caller.WithGracePeriod(n.overrides.gracePeriod))
 	service := &operatorService{releases: n.releases, configuration: n.configuration, status: status}
-	n.operatorAPI = operator.NewServer(service, n, operatorToken(s.Operator()), operator.WithMetrics(n.metrics),
-		operator.WithUnauthorizedHook(n.refusalLog.operatorRefused))
+	options := []operator.ServerOption{operator.WithMetrics(n.metrics), operator.WithUnauthorizedHook(n.refusalLog.operatorRefused)}
+	if n.rollouts.orderPollInterval > 0 && n.rollouts.active() {
+		options = append(options, operator.WithRollouts(rolloutService{rollouts: n.rollouts}))
+	}
+	n.operatorAPI = operator.NewServer(service, n, operatorToken(s.Operator()), options...)
 }
 
 // listeners are the sockets of a node.
--- a/baobaboperator/server.go
+++ b/baobaboperator/server.go
@@ -45,6 +45,7 @@
 	timeout        time.Duration
 	mux            *goji.Mux
 	onUnauthorized func(cause, address string)
+	rollouts       RolloutService // Nil: the node orders no roll-outs.
 }
 
 // ServerOption sets an optional property of a Server.
@@ -97,6 +98,7 @@
 	v1.Handle(pat.Post("/accept"), s.handler("accept", s.accept))
 	v1.Handle(pat.Get("/status"), s.handler("status", s.status))
 	v1.Handle(pat.Get("/node"), s.handler("node", s.node))
+	s.addRolloutRoutes(v1)
 	return v1
 }
 
