--- a/baobabquota/ledgeraccount.go
+++ b/baobabquota/ledgeraccount.go
@@ -16,6 +16,7 @@
 	updatedAt      time.Time
 	share          float64
 	demand         float64 // Requests per second at all nodes.
+	baseShare      float64 // Share before nodes started to report here.
 	rateShare      float64 // Part of the rate that this side of the mesh may grant.
 	reporters      map[string]*reporter
 	announcedShare float64
@@ -41,7 +42,7 @@
 // newLedgerAccount returns the state of an account without use. Its level is the burst if nothing can have used it, and
 // zero otherwise.
 func newLedgerAccount(now time.Time, name string, l Limit, full bool) *ledgerAccount {
-	a := &ledgerAccount{name: name, limit: l, updatedAt: now, share: 1, rateShare: 1, reporters: map[string]*reporter{}}
+	a := &ledgerAccount{name: name, limit: l, updatedAt: now, share: 1, baseShare: 1, rateShare: 1, reporters: map[string]*reporter{}}
 	if full {
 		a.level = l.burst
 	}
@@ -142,8 +143,11 @@
 	if joined > takeoverPart*a.demand && withheld > takeoverPart*joined {
 		// The nodes that do not report here yet use the rest of the rate, and the burst has been used.
 		a.level = min(a.level, -tolerance)
-		a.share = min(a.share, 1-withheld/joined)
+		rest := max(0, a.demand-joined)
+		a.share = min(a.share, (joined-withheld+rest*a.baseShare)/(joined+rest))
+		return
 	}
+	a.baseShare = a.share
 }
 
 // grantFor returns what a node may admit until its next report: its part, by demand, of the level and of the rate in that
--- a/baobabquota/meter.go
+++ b/baobabquota/meter.go
@@ -137,7 +137,7 @@
 		}
 	}
 	for name, a := range s.throttled {
-		if a.share < 1 && !named[name] && len(grants) < maxHotGrants {
+		if a.share < 1 && !named[name] && a.grantedBy == s.number && len(grants) < maxHotGrants {
 			a.open(m.topology)
 		}
 		if a.share >= 1 {
--- a/baobabquota/meteraccount.go
+++ b/baobabquota/meteraccount.go
@@ -18,14 +18,16 @@
 	ackedAsked, ackedAdmitted uint64 // Known to the coordinator.
 	closed                    bool   // The coordinator knows that no request followed the last one.
 
-	share    float64 // Of the requests to admit, from 0 to 1.
-	credit   float64 // Fractions of admitted requests, from 0 to 1.
-	budget   float64 // Requests to admit at most until the next reply.
-	ownRate  float64 // Recent admitted requests per second at this node.
-	ackedAt  time.Time
-	refillAt time.Time
-	withheld float64   // Share of the requests refused by the last coordinator's grant, until this one answers.
-	granted  time.Time // When the last grant arrived.
+	share     float64 // Of the requests to admit, from 0 to 1.
+	credit    float64 // Fractions of admitted requests, from 0 to 1.
+	budget    float64 // Requests to admit at most until the next reply.
+	ownRate   float64 // Recent admitted requests per second at this node.
+	ackedAt   time.Time
+	refillAt  time.Time
+	withheld  float64   // Share of the requests refused by the last coordinator's grant, until this one answers.
+	fallback  bool      // The coordinator is silent and the budget is the node's own share.
+	grantedBy uint64    // Session in which the last grant arrived; a new coordinator does not know yet who is over the limit.
+	granted   time.Time // When the last grant arrived.
 }
 
 // newMeterAccount returns the state of an account that this node knows nothing about. The credit starts at a different
@@ -57,8 +59,12 @@
 		}
 	}
 	if a.session.active[a.name] == nil {
-		if a.share >= 1 || now.Sub(a.granted) > staleTime {
+		if !a.session.lost(now) && (a.share >= 1 || now.Sub(a.granted) > staleTime) {
+			rest := a.budget
 			a.open(t)
+			if now.Sub(a.granted) < keepTime {
+				a.budget = max(a.budget, rest)
+			}
 		}
 		a.session.active[a.name] = a
 	}
@@ -95,10 +101,14 @@
 	elapsed := max(0, now.Sub(a.refillAt).Seconds())
 	a.refillAt = now
 	if lost {
-		a.budget = min(a.budget, 1)
+		if !a.fallback {
+			// Nodes start at different fractions of a request, so that they do not all admit one at once.
+			a.fallback, a.budget = true, min(a.budget, a.credit)
+		}
 		a.budget = min(1, a.budget+elapsed*a.limit.rate*t.ownShare())
 		return
 	}
+	a.fallback = false
 	if a.session.silence(now) > replyTimeout {
 		perSecond := a.ownRate
 		if a.share >= 1 {
@@ -135,7 +145,8 @@
 	if a.share = g.share; g.share < 1 {
 		a.session.throttled[a.name] = a
 	}
-	a.granted, a.budget = now, min(a.budget, max(g.requests, 1))
+	a.granted, a.grantedBy = now, a.session.number
+	a.budget = min(a.budget, max(g.requests, 1))
 }
 
 // refund returns the charge of one request. It reports false if the totals of the session do not contain it.
--- a/baobabquota/timing.go
+++ b/baobabquota/timing.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// reportInterval is the time between two reports while accounts are used. Two shards at this interval keep 61 nodes
-	// below 6 messages per second and node, with early reports included.
-	reportInterval = 500 * time.Millisecond
+	// reportInterval is the time between two reports while accounts are used. A node with use in each interval
+	// then sends 2.5 reports per second and shard, and the coordinator knows of a demand that rises eightfold in time.
+	reportInterval = 400 * time.Millisecond
 	// urgentInterval is the minimum time between two reports when an account runs out of its grant.
 	urgentInterval = 100 * time.Millisecond
 	// replyTimeout is how long a report may remain unanswered before the next one is sent.
@@ -15,17 +15,19 @@
 	// idleTime is how long a throttled account is reported after its last request, so that the node learns when the
 	// account is below its limit again.
 	idleTime = 5 * time.Second
+	// keepTime is how long the rest of a grant may be used after a pause of the account.
+	keepTime = 3 * time.Second
 	// staleTime is how long a node applies a share below 1 that it has not been told again.
 	staleTime = 15 * time.Second
 	// forgetTime is how long an unused account is remembered. It exceeds the time in which a full burst builds up for the
 	// usual burst of a few seconds.
 	forgetTime = 30 * time.Second
 	// lookAhead is the demand that the level of an account must cover: one report interval and the delay of a reply.
-	lookAhead = 600 * time.Millisecond
+	lookAhead = 500 * time.Millisecond
 	// settleTime is how long an account must have been idle at a coordinator before it starts with a full burst.
 	settleTime = 10 * time.Second
 	// presumeAfter is when a coordinator starts to charge a silent node for its recent rate.
-	presumeAfter = 600 * time.Millisecond
+	presumeAfter = 500 * time.Millisecond
 	// takeoverTime is how long a coordinator does not admit more for nodes that start to report to it than they did before.
 	// In that time all nodes learn of the change of members.
 	takeoverTime = 2500 * time.Millisecond
