--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -25,6 +25,7 @@
 		{"baobab_configuration_number", func() float64 { return float64(n.board.ActiveVersion().Number()) }},
 		{"baobab_configuration_rejected_number", func() float64 { return float64(n.configuration.rejectedNumber()) }},
 		{"baobab_membership_endpoints", n.countEndpoints},
+		{"baobab_rollout_running", func() float64 { return float64(n.rollouts.evidence.running.Load()) }},
 		{"baobab_upstream_request_limit", func() float64 {
 			limit, _ := n.registry.Notice().RequestLimit()
 			return limit
@@ -54,6 +55,7 @@
 		n.metrics.NewGauge(fmt.Sprintf("baobab_upstream_state{state=%q}", s), func() float64 { return n.upstreamInState(s) })
 	}
 	n.metrics.RegisterMetricsWriter(n.writeAdmissionMetrics)
+	n.metrics.RegisterMetricsWriter(n.rollouts.writeMetrics)
 }
 
 // writeAdmissionMetrics writes the counters of the admission gate. Their ranks come from the policy, so they cannot be
