--- a/baobabroute/chooser.go
+++ b/baobabroute/chooser.go
@@ -110,6 +110,7 @@
 	expectedLatency time.Duration
 	timeFactor      float64 // Service time relative to the mean of the service; zero: unknown.
 	overloaded      bool
+	degraded        bool // It fails or refuses many calls.
 }
 
 // A choice holds the arguments and state of one run of Choose.
@@ -238,6 +239,7 @@
 		candidate:       candidate,
 		timeFactor:      snapshot.timeFactor,
 		expectedLatency: expected,
+		degraded:        snapshot.degraded(),
 		overloaded: snapshot.queueWait > h.maxQueueWait || snapshot.utilization(candidate.slots) > h.maxUtilization ||
 			snapshot.degraded(),
 	}, true
--- a/baobabroute/distanceplan.go
+++ b/baobabroute/distanceplan.go
@@ -126,14 +126,14 @@
 	h.excluded = p.isTried
 	indexes := p.set.tiers[near]
 	best, ok := h.betterOfTwo(p.askedOf(indexes))
-	if !ok || p.degraded(h.now, best) {
+	if !ok || best.degraded {
 		best, _ = h.betterOfTwo(indexes)
 	}
-	if near != tierSameDomain || !p.refused && !p.degraded(h.now, best) {
+	if near != tierSameDomain || !p.refused && !best.degraded {
 		return best
 	}
 	s, ok := h.betterOfTwo(p.set.tiers[tierSameRegion])
-	if ok && !p.degraded(h.now, s) && (p.degraded(h.now, best) || s.betterThan(best)) {
+	if ok && !s.degraded && (best.degraded || s.betterThan(best)) {
 		return s
 	}
 	return best
@@ -144,7 +144,3 @@
 	snapshot := p.chooser.stats.Snapshot(now, s.candidate.id)
 	return snapshot.reportWeight > minFreeReportWeight && snapshot.utilization(s.candidate.slots) < freeUtilization
 }
-
-func (p *OfferPlan) degraded(now time.Time, s scoredCandidate) bool {
-	return p.chooser.stats.Snapshot(now, s.candidate.id).degraded()
-}
