--- a/baobabquota/comparison_test.go
+++ b/baobabquota/comparison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 )
@@ -151,6 +152,25 @@
 	}
 }
 
+// TestBoundAllSeeds is the bound of TestBound for the accounts that ask for 5 times their usual demand while a coordinator is
+// paused or cut off or a third of the nodes is cut off, with every seed of the comparison.
+func TestBoundAllSeeds(t *testing.T) {
+	for _, c := range scenarios() {
+		if len(c.faults) == 0 || !strings.Contains(c.name, "5 times") || c.nodes > 60 {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(comparisonSeeds) {
+				for i, r := range simulate(c, &exchange{}, seed+1).results {
+					if r.over > 0 {
+						t.Errorf("seed %d, rate %g: %.3f over the bound", seed+1, c.accounts[i].rate, r.over)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestLimitComparison prints the comparison of docs/design/account-limits.md.
 func TestLimitComparison(t *testing.T) {
 	if !testing.Verbose() {
--- a/baobabrollout/simulation_test.go
+++ b/baobabrollout/simulation_test.go
@@ -297,10 +297,16 @@
 // TestSimulation guards against a rule for verdicts or a schedule that gives a bad version too many requests, notices it too
 // late, or condemns good versions. The smallest service is not checked: with 5 requests per second for the target, a fault of
 // some of its answers shows too late.
-func TestSimulation(t *testing.T) {
+func TestSimulation(t *testing.T) { runSimulation(t, []int{60, 300}) }
+
+// TestSimulationSmallMesh is TestSimulation with 10 nodes, where a bad version gets few requests while its share is small.
+func TestSimulationSmallMesh(t *testing.T) { runSimulation(t, []int{10}) }
+
+func runSimulation(t *testing.T, sizes []int) {
+	t.Helper()
 	faults := []string{"good", "fails", "late", "load", "kind", "slow"}
 	for _, rule := range []string{"sequential", "threshold"} {
-		for _, nodes := range []int{10, 60, 300} {
+		for _, nodes := range sizes {
 			for f, name := range faults {
 				t.Run(fmt.Sprintf("%s/%d/%s", rule, nodes, name), func(t *testing.T) {
 					r := simulateSeeds(nodes, fault(f), rule)
@@ -311,7 +317,7 @@
 					if f == int(faultNone) && r.condemned*500 > max(r.runs, 500) {
 						t.Errorf("%d of %d good versions condemned", r.condemned, r.runs)
 					}
-					if f != int(faultNone) && nodes > 10 && (r.condemned != r.runs || r.exposure[r.runs-1] > 1 || r.late > 0) {
+					if f != int(faultNone) && (r.condemned != r.runs || r.exposure[r.runs-1] > 1 || r.late > 0) {
 						t.Errorf("a bad version got too many requests: %s", r.summary())
 					}
 				})
--- a/baobabroute/evenload_test.go
+++ b/baobabroute/evenload_test.go
@@ -317,6 +317,24 @@
 	}
 }
 
+// TestEvenLoadStatedTargets guards against a choice that places calls worse than the choice without distances and rates, or
+// takes more messages for it. A deployment may not lose more than 0.03 of its calls in target.
+func TestEvenLoadStatedTargets(t *testing.T) {
+	const seed = 20261204
+	ways := []evenOption{{name: "today"}, {name: "distance, rates", stated: true, options: []ChooserOption{
+		WithDistances(NewDistances(20*time.Millisecond, 250*time.Millisecond)), WithRates(),
+	}}}
+	for _, nodes := range []int{30, 76} {
+		for _, load := range []float64{0.7, 1} {
+			l := evenLoad{nodes: nodes, load: load, variation: 0.55, slow: 0.15}
+			today, kept := runEvenLoad(l, ways[0], 10*time.Second, seed), runEvenLoad(l, ways[1], 10*time.Second, seed)
+			if kept.inTarget < today.inTarget-0.03 || kept.region > today.region || kept.messages > today.messages || kept.waits > today.waits/3 {
+				t.Errorf("%d nodes, load %.2f: %+v, without %+v", nodes, load, kept, today)
+			}
+		}
+	}
+}
+
 // TestEvenLoad guards against a way of placing calls that is worse than the one it replaces: fewer answers in the target,
 // more calls to other regions, or more messages a call.
 func TestEvenLoad(t *testing.T) {
