--- a/baobabnode/limitcontroller.go
+++ b/baobabnode/limitcontroller.go
@@ -46,6 +46,8 @@
 	overLog     *rate.Limiter
 	silentLog   *rate.Limiter
 	limitOf     func(account string) (ratePerSecond, burst float64, limited bool)
+	// accountsUsed reports whether the configuration in force has accounts, and returns a channel that is closed when it changes.
+	accountsUsed func() (bool, <-chan struct{})
 
 	admitted, refused, refunded, sent, failed *metrics.Counter
 	lastSilence                               atomic.Int64 // Time without a reply, in nanoseconds.
@@ -55,14 +57,15 @@
 	l := &limitController{
 		meter: quota.NewMeter(members.self, uint64(now().UnixNano())), ledger: quota.NewLedger(members.self),
 		members: members, transport: transport, broadcaster: b, now: now, logger: logger,
-		overLog:   rate.NewLimiter(rate.Every(limitLogInterval), 3),
-		silentLog: rate.NewLimiter(rate.Every(limitLogInterval), 1),
-		limitOf:   func(string) (float64, float64, bool) { return 0, 0, false },
-		admitted:  set.NewCounter("baobab_quota_admitted_total"),
-		refused:   set.NewCounter("baobab_quota_refused_total"),
-		refunded:  set.NewCounter("baobab_quota_refunded_total"),
-		sent:      set.NewCounter("baobab_quota_reports_sent_total"),
-		failed:    set.NewCounter("baobab_quota_reports_failed_total"),
+		overLog:      rate.NewLimiter(rate.Every(limitLogInterval), 3),
+		silentLog:    rate.NewLimiter(rate.Every(limitLogInterval), 1),
+		limitOf:      func(string) (float64, float64, bool) { return 0, 0, false },
+		accountsUsed: func() (bool, <-chan struct{}) { return true, nil },
+		admitted:     set.NewCounter("baobab_quota_admitted_total"),
+		refused:      set.NewCounter("baobab_quota_refused_total"),
+		refunded:     set.NewCounter("baobab_quota_refunded_total"),
+		sent:         set.NewCounter("baobab_quota_reports_sent_total"),
+		failed:       set.NewCounter("baobab_quota_reports_failed_total"),
 	}
 	set.NewGauge("baobab_quota_reply_age_seconds", func() float64 { return l.meter.LastReplyAge(l.now()).Seconds() })
 	set.NewGauge("baobab_quota_metered_accounts", func() float64 { return float64(l.meter.Len()) })
@@ -84,6 +87,14 @@
 	var digest membership.Digest
 	var topologyAt, sweptAt time.Time
 	for {
+		if used, changed := l.accountsUsed(); !used {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+			}
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -191,7 +191,7 @@
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
 	n.accounts = n.newAccountController()
 	n.limits = newLimitController(n.members, n.transport, broadcaster, n.now, n.logger, n.metrics)
-	n.limits.limitOf = n.accountLimit
+	n.limits.limitOf, n.limits.accountsUsed = n.accountLimit, n.accountsUsed
 	n.dependencies = newDependencyController(s.Admission(), n.decisionLog)
 	n.rollouts = newRolloutController(n.overrides.rollouts || s.Rollouts().Enabled(), n.board, n.members, n.now, n.logger)
 	n.rollouts.connect(n.store, broadcaster, n.transport, n.metrics)
--- a/baobabnode/wiring.go
+++ b/baobabnode/wiring.go
@@ -120,3 +120,11 @@
 	a, ok := active.Snapshot().Document().Account(name)
 	return a.Rate(), a.Burst(), ok && a.Rate() > 0
 }
+
+// accountsUsed reports whether the configuration in force has accounts, and returns a channel that is closed when another one
+// comes into force.
+func (n *Node) accountsUsed() (bool, <-chan struct{}) {
+	changed := n.board.ActiveConfigurationChanged()
+	active := n.board.ActiveConfiguration()
+	return active != nil && !active.Accounts().Empty(), changed
+}
