--- a/baobabquota/comparison_test.go
+++ b/baobabquota/comparison_test.go
@@ -87,7 +87,7 @@
 			scenario{name: fmt.Sprint("hot x8, skewed ", n), nodes: n, accounts: mix(hot8, 0.8), duration: 22 * time.Second})
 	}
 	list = append(list, scenario{name: "small accounts", nodes: 61, accounts: thin(), duration: 60 * time.Second},
-		scenario{name: "73 accounts", nodes: 61, accounts: remittance(), duration: 30 * time.Second})
+		scenario{name: "73 accounts", nodes: 61, accounts: accountMix(), duration: 30 * time.Second})
 	s := time.Second
 	for _, d := range []struct {
 		name   string
@@ -122,8 +122,8 @@
 	return list
 }
 
-// remittance returns 73 accounts of which the largest sends a third of the requests.
-func remittance() []simAccount {
+// accountMix returns 73 accounts of which the largest sends a third of the requests.
+func accountMix() []simAccount {
 	list := []simAccount{{rate: 600, burst: 600, demand: steady(372)}}
 	for i := range 72 {
 		rate := 3 * math.Pow(30, float64(i)/71)
