admission, node: log and metrics of what each rank gets of an upstream

Cause: logs name the refusals of a call, but nothing tells which rank holds the slots of an upstream and which one waits, so a rank that is starved cannot be told from calls that wait beside free slots.

Change: slot time and waiting time of each rank are counted; while calls are refused, a node logs each 5 s what each rank got. Decisions do not change.

--- a/baobabadmission/gate.go
+++ b/baobabadmission/gate.go
@@ -145,7 +145,7 @@
 		g.inFlightByRank[g.rankName(e.request)]++
 		wait := max(0, now.Sub(e.enqueuedAt))
 		g.waitMeter.observe(now, wait)
-		g.counters.countGrant(g.rankName(e.request))
+		g.counters.countGrant(g.rankName(e.request), wait)
 		e.waiter.grant(&Permit{gate: g, kind: e.request.kind, rank: g.rankName(e.request), grantedAt: now, wait: wait})
 	}
 }
@@ -191,6 +191,7 @@
 		return
 	}
 	p.released = true
+	g.counters.countRelease(p.rank, now.Sub(p.grantedAt))
 	g.limiter.Record(now, p.kind, now.Sub(p.grantedAt), o, g.inFlight)
 	g.inFlight--
 	if g.inFlightByRank[p.rank]--; g.inFlightByRank[p.rank] <= 0 {
@@ -306,9 +307,13 @@
 	return g.queue.OverloadedSince(now, rank)
 }
 
-// Granted returns the number of permits granted to the rank.
-func (g *Gate) Granted(rank string) uint64 {
+// Usage returns what each rank of the policy asked for and got, the most urgent rank first.
+func (g *Gate) Usage() []RankUsage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.counters.granted[rank]
+	all := make([]RankUsage, 0, len(g.queue.policy.ranks))
+	for _, r := range g.queue.policy.ranks {
+		all = append(all, g.counters.usage(r.name))
+	}
+	return all
 }
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -68,13 +68,14 @@
 		_, _ = fmt.Fprintf(w, "baobab_admission_refusals_total{rank=%q,reason=%q} %d\n", r.Rank(), r.Reason(), r.Count())
 	}
 	_, _ = fmt.Fprintf(w, "baobab_admission_pauses_total %d\n", n.gate.Pauses())
-	p, ok := localPolicy(n.board)
-	if !ok {
+	if _, ok := localPolicy(n.board); !ok {
 		return
 	}
-	for _, r := range p.Ranks() {
-		_, _ = fmt.Fprintf(w, "baobab_admission_granted_total{rank=%q} %d\n", r.Name(), n.gate.Granted(r.Name()))
-		_, _ = fmt.Fprintf(w, "baobab_admission_overloaded_since_timestamp_seconds{rank=%q} %.3f\n", r.Name(), unixSeconds(n.gate.OverloadedSince(n.now(), r.Name())))
+	for _, u := range n.gate.Usage() {
+		_, _ = fmt.Fprintf(w, "baobab_admission_granted_total{rank=%q} %d\n", u.Rank(), u.Granted())
+		_, _ = fmt.Fprintf(w, "baobab_admission_held_seconds_total{rank=%q} %.3f\n", u.Rank(), u.Held().Seconds())
+		_, _ = fmt.Fprintf(w, "baobab_admission_waited_seconds_total{rank=%q} %.3f\n", u.Rank(), u.Waited().Seconds())
+		_, _ = fmt.Fprintf(w, "baobab_admission_overloaded_since_timestamp_seconds{rank=%q} %.3f\n", u.Rank(), unixSeconds(n.gate.OverloadedSince(n.now(), u.Rank())))
 	}
 }
 
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -342,7 +342,7 @@
 	}
 	for _, run := range []func(context.Context) error{
 		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.seeds.run, n.quarantine.run, n.accounts.run, n.limits.run, n.rollouts.run,
-		n.syncAdmissionPolicy, n.sweepEndpointStats,
+		n.syncAdmissionPolicy, n.sweepEndpointStats, (&shortageLog{gate: n.gate, now: n.now, logger: n.logger}).run,
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
 	}
