--- a/baobabscarcity/node.go
+++ b/baobabscarcity/node.go
@@ -129,7 +129,7 @@
 		n.dispatch()
 		done(e)
 	}
-	if r.random.Float64() < r.scenario.ShedShare {
+	if r.random.Float64() < r.shedShare(n.service) {
 		refusal := call.NewRefusal(call.ReasonUpstreamShed, call.OutcomeNotRun, "")
 		r.clock.after(hopTime, func() { end(callEnd{refusal: refusal}, admission.OutcomeShed) })
 		return
--- a/baobabscarcity/result.go
+++ b/baobabscarcity/result.go
@@ -22,6 +22,11 @@
 	Late    int
 }
 
+// ServedShare returns the share of the requests that were answered, in time or late.
+func (k KindResult) ServedShare() float64 {
+	return float64(k.OnTime+k.Late) / float64(max(k.Offered, 1))
+}
+
 func newResult(s Scenario) *Result {
 	bins := int(s.Duration/binTime) + 1
 	r := &Result{scenario: s, offered: make([]int, bins), onTime: make([]int, bins), late: make([]int, bins)}
@@ -31,12 +36,12 @@
 	return r
 }
 
-// shrunk reports whether the service is shrunk at a time.
-func (s Scenario) shrunk(at time.Duration) bool { return at >= s.ShrinkAt && at < s.ReturnAt }
+// disturbed reports whether a time lies between ShrinkAt and ReturnAt.
+func (s Scenario) disturbed(at time.Duration) bool { return at >= s.ShrinkAt && at < s.ReturnAt }
 
 func (r *Result) recordRequest(at time.Duration, kind int) {
 	r.offered[at/binTime]++
-	if r.scenario.shrunk(at) {
+	if r.scenario.disturbed(at) {
 		r.byKind[kind].Offered++
 	}
 }
@@ -48,7 +53,7 @@
 		counts, byKind = r.onTime, &r.byKind[kind].OnTime
 	}
 	counts[at/binTime]++
-	if r.scenario.shrunk(sent) {
+	if r.scenario.disturbed(sent) {
 		*byKind++
 	}
 }
@@ -84,3 +89,14 @@
 
 // Kinds returns the counts of each kind while the service is shrunk.
 func (r *Result) Kinds() []KindResult { return r.byKind }
+
+// ServedShare returns the share of all requests that were answered, in time or late, while the scenario is disturbed.
+func (r *Result) ServedShare() float64 {
+	var all KindResult
+	for _, k := range r.byKind {
+		all.Offered += k.Offered
+		all.OnTime += k.OnTime
+		all.Late += k.Late
+	}
+	return all.ServedShare()
+}
--- a/baobabscarcity/run.go
+++ b/baobabscarcity/run.go
@@ -43,7 +43,8 @@
 
 // arrive lets requests of a kind arrive at a rate per second (Poisson).
 func (r *run) arrive(kind int, rate float64) {
-	gap := time.Duration(r.random.ExpFloat64() / rate * float64(time.Second))
+	current := rate * r.scenario.Kinds[kind].loadFactor(r.scenario.disturbed(r.clock.elapsed))
+	gap := time.Duration(r.random.ExpFloat64() / current * float64(time.Second))
 	r.clock.after(gap, func() {
 		r.result.recordRequest(r.clock.elapsed, kind)
 		r.request(kind, r.clock.elapsed, 0)
@@ -88,10 +89,18 @@
 	return time.Duration(float64(mean) * (0.5 + 0.5*r.random.ExpFloat64()))
 }
 
+// shedShare returns the share of calls that upstreams of a service refuse now.
+func (r *run) shedShare(service int) float64 {
+	if service == r.scenario.Sheds && r.scenario.disturbed(r.clock.elapsed) {
+		return disturbedShedShare
+	}
+	return r.scenario.ShedShare
+}
+
 // choose returns the less loaded of two random nodes of a service, of which a third are left while it is shrunk.
 func (r *run) choose(service int) *node {
 	nodes := r.nodes[service]
-	if service == r.scenario.Shrinks && r.scenario.shrunk(r.clock.elapsed) {
+	if service == r.scenario.Shrinks && r.scenario.disturbed(r.clock.elapsed) {
 		nodes = nodes[:max(1, len(nodes)/shrinkFactor)]
 	}
 	a, b := nodes[r.random.IntN(len(nodes))], nodes[r.random.IntN(len(nodes))]
--- a/baobabscarcity/run_test.go
+++ b/baobabscarcity/run_test.go
@@ -49,3 +49,20 @@
 		}
 	}
 }
+
+// TestLessUrgentKindStarves guards against rules by which a kind of request is served less than half as often as all while
+// more urgent ones take the room.
+func TestLessUrgentKindStarves(t *testing.T) {
+	for _, nodes := range []int{10, 76} {
+		for _, s := range append(Scenarios(nodes, *seed), SurgeScenarios(nodes, *seed)...) {
+			rules := AllRules()[len(AllRules())-1]
+			r := Run(s, rules)
+			t.Log(row(s, rules, r))
+			for _, k := range r.Kinds() {
+				if served, all := k.ServedShare(), r.ServedShare(); served < all/2 {
+					t.Errorf("%s, %d nodes, seed %d: %.3f of %s are served, %.3f of all", s.Name, nodes, s.Seed, served, k.Name, all)
+				}
+			}
+		}
+	}
+}
