admission: each rank keeps half of its usual share of the slots

Cause: the floor of a rank was 5% of the slots, whatever its part of the work. A rank with a quarter of the work of its service starves as soon as more urgent ranks can fill the slots, and these fill them also because their calls wait for another service. Class of fault: a guarantee that does not follow the size of what it protects.

Ruled out: limits of accounts (refusals only while accounts send several times their usual) and the number of slots (a fluid bound serves all payouts). A floor by current demand: a flood of the least urgent rank would raise its own floor.

Change: the floor is at least kept_percent of the rank's share in the work of requests that find nobody waiting.

--- a/baobabadmission/option.go
+++ b/baobabadmission/option.go
@@ -25,6 +25,10 @@
 	return func(g *Gate) { g.queue.objectiveOrder, g.ordersByObjective = true, true }
 }
 
+// WithUsualShare lets each rank keep a part, in percent, of its usual share of the work while more urgent ranks ask for more
+// than there is.
+func WithUsualShare(percent int) Option { return func(g *Gate) { g.queue.KeepUsualShare(percent) } }
+
 // WithAnnouncedLimit fixes the limit at the announced slots. It suits upstreams whose announcement is known to be right
 // and whose latency rises for reasons other than concurrency, such as calls that they make themselves.
 func WithAnnouncedLimit() Option {
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -21,6 +21,8 @@
 
 	nestedPriority bool // Nested calls go before other calls of their rank.
 	objectiveOrder bool // Calls that can meet their objective go before those that cannot.
+	keptPercent    int  // Part of its usual share of the work that each rank keeps, 0 to 100.
+	usualRequests  int  // Requests that count in the usual work.
 }
 
 // NewQueue returns an empty queue.
@@ -36,6 +38,10 @@
 	q.nestedPriority, q.objectiveOrder = nestedPriority, objectiveOrder
 }
 
+// KeepUsualShare sets which part of its usual share of the work, in percent, each rank keeps while more urgent ranks ask for
+// more than there is, in addition to its floor in the policy.
+func (q *Queue) KeepUsualShare(percent int) { q.keptPercent = min(max(percent, 0), 100) }
+
 // Policy returns the policy in effect.
 func (q *Queue) Policy() Policy { return q.policy }
 
@@ -83,6 +89,7 @@
 func (q *Queue) Offer(now time.Time, r Request, s UpstreamStats) (*Entry, []Drop, *call.Refusal) {
 	rank := q.policy.rankIndex(r.rank)
 	q.ranks[rank].recordArrival(now, s.expectedLatency)
+	q.recordUsualWork(rank, s.expectedLatency)
 	if !r.deadline.IsZero() && !now.Before(r.deadline) {
 		return nil, nil, call.NewRefusal(call.ReasonDeadlinePassed, call.OutcomeNotRun, "deadline passed on arrival")
 	}
@@ -194,19 +201,19 @@
 	rank := q.policy.rankIndex(r.rank)
 	var urgentWaiting int
 	var urgentRate float64
-	floors := 0
+	floors := 0.0
 	for i, other := range q.ranks {
 		switch {
 		case i < rank:
 			urgentWaiting += other.length
 			urgentRate += other.grantRate(now)
 		case i > rank && other.length > 0:
-			floors += q.policy.ranks[i].floorPercent
+			floors += q.floorShare(i)
 		}
 	}
 	ahead := float64(q.ranks[rank].entriesAhead(r.caller, q.laneOf(now, r, s)) + 1)
-	floor := float64(q.policy.ranks[rank].floorPercent) / 100 * rate
-	availableRate := max(floor, rate*float64(100-floors)/100-urgentRate, rate/100)
+	floor := q.floorShare(rank) * rate
+	availableRate := max(floor, rate*(1-floors)-urgentRate, rate/100)
 	seconds := float64(urgentWaiting)/rate + ahead/availableRate
 	if floor > 0 {
 		seconds = min(seconds, ahead/floor)
@@ -336,13 +343,13 @@
 	if q.objectiveOrder {
 		return q.ranks[rank].credit + rounding
 	}
-	return q.ranks[rank].credit + float64(q.policy.ranks[rank].floorPercent)/100 + rounding
+	return q.ranks[rank].credit + q.floorShare(rank) + rounding
 }
 
 // floorOf returns the share of a grant that is due to a rank by its floor. With an order by objectives, floors are shares of
 // the time for which slots are held: a grant of a short call adds less to a rank of long calls.
 func (q *Queue) floorOf(rank int, granted *Entry) float64 {
-	floor := float64(q.policy.ranks[rank].floorPercent) / 100
+	floor := q.floorShare(rank)
 	if expected := q.ranks[rank].expectedLatency; q.objectiveOrder && granted.service > 0 && expected > 0 {
 		floor *= min(1, granted.service.Seconds()/expected.Seconds())
 	}
--- a/baobabadmission/rankqueue.go
+++ b/baobabadmission/rankqueue.go
@@ -29,6 +29,8 @@
 	length int
 	credit float64 // Grants due to the rank by its floor; at least 0.
 
+	usualWork float64 // Recent mean of the work in seconds that a request brings the rank, 0 for requests of other ranks.
+
 	estimateMeter   waitMeter // Mean of the uncorrected estimates of granted entries.
 	waitMeter       waitMeter // A mean, because with round robin single waits are short even under overload.
 	lastShortWait   time.Time // When the rank was last empty or its mean wait was short.
--- a/baobabadmission/simulation_test.go
+++ b/baobabadmission/simulation_test.go
@@ -14,7 +14,16 @@
 	rate     float64 // Requests per second.
 	callers  int
 	target   time.Duration
-	deadline time.Duration // After the arrival.
+	deadline time.Duration                  // After the arrival.
+	factor   func(at time.Duration) float64 // Multiplies the rate; nil means 1.
+}
+
+// rateAt returns the requests per second at a time.
+func (s requestStream) rateAt(at time.Duration) float64 {
+	if s.factor == nil {
+		return s.rate
+	}
+	return s.rate * s.factor(at)
 }
 
 // A simulation runs a Queue and a Limiter in front of an upstream with a first-in first-out queue of its own.
@@ -24,6 +33,7 @@
 	slots           func(at time.Duration) int     // Calls that the upstream actually runs concurrently.
 	meanService     time.Duration                  // Service times are exponentially distributed.
 	serviceFactor   func(at time.Duration) float64 // Multiplies the service time; nil means 1.
+	keptPercent     int                            // Part of its usual share that each rank keeps.
 	announcedOffset int                            // Announced minus actual slots at the start.
 	staticLimit     bool                           // The limit stays at the announced slots.
 	duration        time.Duration
@@ -76,6 +86,7 @@
 	t.Helper()
 	random := rand.New(rand.NewPCG(s.seed, s.seed))
 	queue := NewQueue(s.policy)
+	queue.KeepUsualShare(s.keptPercent)
 	announced := s.slots(0) + s.announcedOffset
 	limiter := NewLimiter(0, 1)
 	limiter.Announce(simEpoch, announced, 10*announced, time.Time{})
@@ -83,7 +94,7 @@
 	targets := map[string]time.Duration{}
 	events := &simEvents{}
 	next := func(at time.Duration, i int) {
-		gap := time.Duration(random.ExpFloat64() / s.streams[i].rate * float64(time.Second))
+		gap := time.Duration(random.ExpFloat64() / s.streams[i].rateAt(at) * float64(time.Second))
 		heap.Push(events, simEvent{at: at + gap, stream: i})
 	}
 	for i, stream := range s.streams {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -128,7 +128,7 @@
 
 // newGate returns the admission gate for an upstream.
 func newGate(u settings.Upstream, a settings.Admission) *admission.Gate {
-	options := []admission.Option{admission.WithWarmUp(u.WarmUp(), warmUpFraction)}
+	options := []admission.Option{admission.WithWarmUp(u.WarmUp(), warmUpFraction), admission.WithUsualShare(a.KeptPercent())}
 	if u.FixedLimit() {
 		options = append(options, admission.WithAnnouncedLimit())
 	}
--- a/baobabscarcity/node.go
+++ b/baobabscarcity/node.go
@@ -38,6 +38,7 @@
 		inFlight: map[string]int{}, waiting: map[*admission.Entry]func(*call.Refusal){},
 	}
 	n.queue.SetOrder(r.rules.NestedPriority, r.rules.ObjectiveOrder)
+	n.queue.KeepUsualShare(r.rules.KeptPercent)
 	n.limiter.Announce(epoch, slots, 10*slots, time.Time{})
 	for range r.scenario.Services {
 		n.budgets = append(n.budgets, route.NewBudget(retryBudgetPercent))
--- a/baobabscarcity/rules.go
+++ b/baobabscarcity/rules.go
@@ -7,6 +7,7 @@
 	ObjectiveOrder bool
 	RootAdmission  bool
 	RetryOrder     bool
+	KeptPercent    int
 }
 
 // AllRules returns today's rules and all combinations of settings that are compared with them.
@@ -16,6 +17,6 @@
 		{Name: "nested_priority", NestedPriority: true},
 		{Name: "objective_order", ObjectiveOrder: true},
 		{Name: "root_admission", NestedPriority: true, RootAdmission: true},
-		{Name: "all on", NestedPriority: true, ObjectiveOrder: true, RootAdmission: true, RetryOrder: true},
+		{Name: "all on", NestedPriority: true, ObjectiveOrder: true, RootAdmission: true, RetryOrder: true, KeptPercent: 50},
 	}
 }
--- a/baobabsettings/admission.go
+++ b/baobabsettings/admission.go
@@ -6,6 +6,7 @@
 	objectiveOrder bool
 	rootAdmission  bool
 	retryOrder     bool
+	keptPercent    int // 0 to 100.
 }
 
 func readAdmission(r *reader) Admission {
@@ -14,6 +15,7 @@
 		objectiveOrder: r.choice("admission", "objective_order", "off", "on", "off") == "on",
 		retryOrder:     r.choice("admission", "retry_order", "off", "on", "off") == "on",
 		rootAdmission:  r.choice("admission", "root_admission", "off", "on", "off") == "on",
+		keptPercent:    r.integer("admission", "kept_percent", 0, 0, 100),
 	}
 	if a.rootAdmission && !a.nestedPriority {
 		r.addProblem("admission", "root_admission", "requires nested_priority = on")
@@ -35,3 +37,7 @@
 
 // RootAdmission reports whether calls are refused whose nested calls could not be served for lack of room.
 func (a Admission) RootAdmission() bool { return a.rootAdmission }
+
+// KeptPercent returns which part of its usual share of an upstream's work each rank keeps while more urgent ranks ask for more
+// than there is, in percent.
+func (a Admission) KeptPercent() int { return a.keptPercent }
