admission: calls that more urgent ones keep waiting are refused on arrival

Cause: a call is accepted although its estimated wait exceeds its objective, when the work ahead of it does not account for the wait, because then less urgent calls were taken to hold the slots. Work ahead counted the more urgent calls that wait, not those that keep arriving and are served at once.

Change: the slots that more urgent ranks took in the last second are not counted as available to the rank, down to its floor.

--- a/baobabadmission/objective.go
+++ b/baobabadmission/objective.go
@@ -59,7 +59,7 @@
 		maxWait /= 2
 	}
 	maxWait = max(maxWait, target/8)
-	if wait <= maxWait || q.workAhead(e, s) <= maxWait {
+	if wait <= maxWait || q.workAhead(now, e, s) <= maxWait {
 		return nil
 	}
 	const detail = "the estimated wait leaves too little time for the objective"
--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -158,26 +158,32 @@
 	// bound of target/8 keeps an upstream that is slower than the target from stopping all work.
 	slack := target - s.expectedLatency*slowServicePercent/100
 	maxWait := max(slack/2, target/8)
-	if wait <= maxWait || q.workAhead(e, s) <= maxWait {
+	if wait <= maxWait || q.workAhead(now, e, s) <= maxWait {
 		return nil
 	}
 	const detail = "rank is overloaded and the estimated wait exceeds its target"
 	return call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, detail).WithRetryAfter(q.returnAfter(now, e, wait, wait-maxWait))
 }
 
-// workAhead returns how long all slots are held by a new call of the rank and caller and by the calls that are served
-// before it.
-func (q *Queue) workAhead(e *Entry, s UpstreamStats) time.Duration {
+// workAhead returns how long all slots are held by a new call of the rank and caller, by the calls that are served before
+// it, and by more urgent calls that arrive meanwhile.
+func (q *Queue) workAhead(now time.Time, e *Entry, s UpstreamStats) time.Duration {
 	rank := e.rank
 	calls := q.ranks[rank].entriesAhead(e.request.caller, e.lane) + 1
 	work := time.Duration(calls) * s.expectedLatency
-	for i := range rank {
-		calls += q.ranks[i].length
-		work += time.Duration(q.ranks[i].length) * q.ranks[i].expectedLatency
-	}
-	return s.timeOf(calls, work)
+	urgentSlots := 0.0
+	for _, r := range q.ranks[:rank] {
+		calls += r.length
+		work += time.Duration(r.length) * r.expectedLatency
+		urgentSlots += r.grantRate(now) * r.expectedLatency.Seconds()
+	}
+	share := max(q.floorShare(rank), 1-urgentSlots/float64(s.limit), minWaitShare)
+	return time.Duration(float64(s.timeOf(calls, work)) / share)
 }
 
+// minWaitShare is the least share of the slots by which the wait of a call is estimated.
+const minWaitShare = 0.01
+
 // EstimateWait estimates how long the request would wait for a grant, from the service rate, the work that is served
 // before it, and the error of recent estimates. It is zero when a permit is free or neither latency nor rate is known.
 func (q *Queue) EstimateWait(now time.Time, r Request, s UpstreamStats) time.Duration {
@@ -213,7 +219,7 @@
 	}
 	ahead := float64(q.ranks[rank].entriesAhead(r.caller, q.laneOf(now, r, s)) + 1)
 	floor := q.floorShare(rank) * rate
-	availableRate := max(floor, rate*(1-floors)-urgentRate, rate/100)
+	availableRate := max(floor, rate*(1-floors)-urgentRate, minWaitShare*rate)
 	seconds := float64(urgentWaiting)/rate + ahead/availableRate
 	if floor > 0 {
 		seconds = min(seconds, ahead/floor)
