admission: calls that turn late in the queue count as long waits

What callers saw: calls that turn late at an upstream without room waited for their whole time and were refused as deadline_passed, without time left for another try.

Cause: a rank counts as overloaded by the waits of its granted calls. Calls that turn late let others pass, so the granted ones are the fresh ones with short waits; the rank was never overloaded, its late calls were kept, and its estimates were corrected downwards, so that more calls were accepted.

Change: the wait of a call counts when it turns late. Late calls of an overloaded rank were refused already.

--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -270,7 +270,7 @@
 		if rank < 0 {
 			return nil, drops
 		}
-		e := q.ranks[rank].pop(now)
+		e := q.ranks[rank].pop(now, q.policy.ranks[rank].latencyTarget)
 		q.length--
 		drops = append(drops, q.dropLate(now, rank)...)
 		if refusal := lateRefusal(e, now, e.minService); refusal != nil {
--- a/baobabadmission/rankqueue.go
+++ b/baobabadmission/rankqueue.go
@@ -75,8 +75,8 @@
 }
 
 // pop removes and returns the entry that is served next. The queue must not be empty. Entries that can no longer meet
-// their objective move to the late lane, unless a nested call is served.
-func (r *rankQueue) pop(now time.Time) *Entry {
+// their objective move to the late lane, unless a nested call is served; their waits count, although they are not granted yet.
+func (r *rankQueue) pop(now time.Time, target time.Duration) *Entry {
 	for _, l := range r.lanes {
 		for l.length > 0 {
 			e := l.pop()
@@ -86,6 +86,7 @@
 			}
 			e.lane = laneLate
 			r.lanes[laneLate].push(e)
+			r.recordWait(now, e, target)
 		}
 	}
 	return nil
@@ -161,6 +162,11 @@
 		// The wait of a call that lets others pass says nothing about theirs.
 		return
 	}
+	r.recordWait(now, e, target)
+}
+
+// recordWait records the wait of an entry until now.
+func (r *rankQueue) recordWait(now time.Time, e *Entry, target time.Duration) {
 	r.waitMeter.observe(now, now.Sub(e.enqueuedAt))
 	r.estimateMeter.observe(now, e.estimatedWait)
 	r.updateOverloaded(now, target)
