emulator: a wait ignores views that were asked for before it

Trace: the test waited until the node was ready and reports that after 66 ms; the node's own log says ready 1.310 s after its start, and refuses the calls before.

Cause: the observer forgot its views when a wait began, but kept one that arrived after that and was asked for before. On a busy machine it was that of the process which had been killed. Ruled out: the node; it refused truthfully.

Change: views are kept by the time at which they were asked for.

--- a/baobabemulator/observer.go
+++ b/baobabemulator/observer.go
@@ -24,6 +24,7 @@
 
 	mu             sync.Mutex
 	lastViews      map[string]baobaboperator.NodeView // Guarded by mu; last view by node id.
+	clearedAt      map[string]time.Time               // Guarded by mu; views that were asked for earlier are not kept, by node id.
 	servedVersions map[string]uint64                  // Guarded by mu; highest version of a ready node by node id.
 	digests        map[uint64]string                  // Guarded by mu; digest by version number.
 	violations     map[string]bool                    // Guarded by mu.
@@ -35,6 +36,7 @@
 	o := &Observer{
 		nodes:          m.nodes,
 		lastViews:      map[string]baobaboperator.NodeView{},
+		clearedAt:      map[string]time.Time{},
 		servedVersions: map[string]uint64{},
 		digests:        map[uint64]string{},
 		violations:     map[string]bool{},
@@ -86,7 +88,7 @@
 }
 
 // WaitUntil waits until a condition holds for the views of the given nodes, or of all nodes without arguments, and
-// returns how long that took. Views from before the call are ignored.
+// returns how long that took. Views that were asked for before the call are ignored.
 func (o *Observer) WaitUntil(
 	ctx context.Context, what string, condition func(baobaboperator.NodeView) bool, nodes ...*MeshNode,
 ) (time.Duration, error) {
@@ -94,7 +96,7 @@
 		nodes = o.nodes
 	}
 	start := time.Now()
-	o.clearLastViews(nodes)
+	o.clearLastViews(start, nodes)
 	err := waitFor(ctx, what, func() bool {
 		return !slices.ContainsFunc(nodes, func(n *MeshNode) bool {
 			v := o.LastView(n)
@@ -111,11 +113,12 @@
 	}, nodes...)
 }
 
-func (o *Observer) clearLastViews(nodes []*MeshNode) {
+func (o *Observer) clearLastViews(now time.Time, nodes []*MeshNode) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, n := range nodes {
 		delete(o.lastViews, n.id)
+		o.clearedAt[n.id] = now
 	}
 }
 
@@ -123,8 +126,9 @@
 	defer c.Close()
 	ctx := o.tomb.Context(context.Background())
 	for {
+		asked := time.Now()
 		if v, err := c.Node(ctx); err == nil {
-			o.recordView(id, v)
+			o.recordView(asked, id, v)
 		}
 		select {
 		case <-ctx.Done():
@@ -134,11 +138,13 @@
 	}
 }
 
-func (o *Observer) recordView(id string, v baobaboperator.NodeView) {
+func (o *Observer) recordView(asked time.Time, id string, v baobaboperator.NodeView) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.responses++
-	o.lastViews[id] = v
+	if !asked.Before(o.clearedAt[id]) {
+		o.lastViews[id] = v
+	}
 	number := v.Version.Number
 	if v.Ready && number < o.servedVersions[id] {
 		o.addViolation("%s went back from version %d to %d", id, o.servedVersions[id], number)
