--- a/baobabupstream/announcement.go
+++ b/baobabupstream/announcement.go
@@ -118,8 +118,8 @@
 	if !validName(j.Service) {
 		return "service must have 1 to 256 bytes"
 	}
-	if _, err := netip.ParseAddrPort(j.Address); err != nil {
-		return "address must be an IP address and a port"
+	if a, err := netip.ParseAddrPort(j.Address); err != nil || a.Port() == 0 {
+		return "address must be an IP address and a port from 1 to 65535"
 	}
 	if j.Slots < 1 || j.Slots > maxSlots {
 		return "slots must be from 1 to 100000"
