--- a/baobabadmission/queue.go
+++ b/baobabadmission/queue.go
@@ -10,9 +10,10 @@
 
 // A Queue orders waiting requests. It starts no goroutines, reads no clock, and is not safe for concurrent use.
 //
-// The most urgent rank is served first. Each grant adds floor_percent/100 to the credit of every waiting rank, and a
-// rank with a credit of 1 is served before more urgent ranks. A waiting rank therefore gets its floor of any sequence
-// of grants, less at most one grant per other rank that was due at the same time.
+// The most urgent rank is served first. Each grant adds its floor to the credit of every waiting rank, and a rank with a
+// credit of 1 is served before more urgent ranks. A waiting rank therefore gets its floor of any sequence of grants, less at
+// most one grant per other rank that was due at the same time. The floor is that of the policy, or a part of the share that
+// the rank usually has in the work, if that is more.
 type Queue struct {
 	policy   Policy
 	ranks    []*rankQueue // Parallel to policy.ranks.
@@ -165,6 +166,9 @@
 	return call.NewRefusal(call.ReasonQueueFull, call.OutcomeNotRun, detail).WithRetryAfter(q.returnAfter(now, e, wait, wait-maxWait))
 }
 
+// minWaitShare is the least share of the slots by which the wait of a call is estimated.
+const minWaitShare = 0.01
+
 // workAhead returns how long all slots are held by a new call of the rank and caller, by the calls that are served before
 // it, and by more urgent calls that arrive meanwhile.
 func (q *Queue) workAhead(now time.Time, e *Entry, s UpstreamStats) time.Duration {
@@ -181,9 +185,6 @@
 	return time.Duration(float64(s.timeOf(calls, work)) / share)
 }
 
-// minWaitShare is the least share of the slots by which the wait of a call is estimated.
-const minWaitShare = 0.01
-
 // EstimateWait estimates how long the request would wait for a grant, from the service rate, the work that is served
 // before it, and the error of recent estimates. It is zero when a permit is free or neither latency nor rate is known.
 func (q *Queue) EstimateWait(now time.Time, r Request, s UpstreamStats) time.Duration {
