--- a/baobabscarcity/scenario.go
+++ b/baobabscarcity/scenario.go
@@ -76,7 +76,7 @@
 	sequential.Name = "two services, two nested calls one after the other"
 	sequential.Kinds = []Kind{
 		{Name: "status", Load: 0.5, Work: 160 * time.Millisecond, Objective: 500 * time.Millisecond, Nested: 2, Calls: 1, Share: 0.7},
-		{Name: "payout", Load: 0.25, Work: 210 * time.Millisecond, Objective: 800 * time.Millisecond, Rank: 1},
+		{Name: "order", Load: 0.25, Work: 210 * time.Millisecond, Objective: 800 * time.Millisecond, Rank: 1},
 		{Name: "upload", Service: 1, Load: 0.25, Work: 190 * time.Millisecond, Objective: 1500 * time.Millisecond, Rank: 2},
 	}
 	parallel.Name = "two services, two nested calls in parallel, upstreams that refuse a tenth"
@@ -100,7 +100,7 @@
 		ShrinkAt: 8 * time.Second, ReturnAt: 13 * time.Second, Duration: 22 * time.Second, Seed: seed,
 		Kinds: []Kind{
 			{Name: "status", Load: 0.45, Work: 160 * time.Millisecond, Objective: 500 * time.Millisecond, Nested: 2, Calls: 1, Share: 0.7, Surge: 2},
-			{Name: "payout", Load: 0.25, Work: 210 * time.Millisecond, Objective: 800 * time.Millisecond, Rank: 1},
+			{Name: "order", Load: 0.25, Work: 210 * time.Millisecond, Objective: 800 * time.Millisecond, Rank: 1},
 			{Name: "upload", Service: 1, Load: 0.2, Work: 190 * time.Millisecond, Objective: 1500 * time.Millisecond, Rank: 2},
 		},
 	}
