proof: the test of a leaving upstream waits for the notice, not for another call

Trace: the log of deposits-1 has the notice at 04:11:07.272 and the upstream draining from then on, as it must; no call starts there later.

Cause: the test counted calls after it had told the upstream to leave, and waited for one more. The answer to a call that was already running carried the notice, so no further call came. Ruled out: the node, which stopped at once.

Change: the test waits until the node has the notice. The time from which calls count as late starts then, as before.

--- a/baobabproof/leavingnotice_test.go
+++ b/baobabproof/leavingnotice_test.go
@@ -24,7 +24,10 @@
 	defer load.Stop()
 	f.waitNextCall(ctx, leaving)
 	f.setBehaviour(`{"leaving": true}`, `{"leaving": false}`, leaving)
-	f.waitNextCall(ctx, leaving)
+	f.waitUntil(ctx, "the notice", func() bool {
+		v, err := leaving.Metric(ctx, `baobab_upstream_state{state="draining"}`)
+		return err == nil && v == 1
+	})
 	left := time.Now()
 	f.waitUntil(ctx, "the limit to pass", func() bool { return time.Since(left) > newWorkLimit })
 	leaving.NodeProcess().Kill()
