review: an isolated coordinator of limits takes itself for the majority

Case 2: QUOTA. The node that coordinates the limits of tenants is cut off from the other machines for 12 s; it and the coordinator that the others choose both grant the whole rate.

--- a/review/testbed/case_config.go
+++ b/review/testbed/case_config.go
@@ -37,10 +37,10 @@
 	time.Sleep(outageDelay)
 	if trouble {
 		r.say("the store gives no response from now on")
-		m.store.setSilent(true)
+		m.setStoreSilent(true)
 	}
 	time.Sleep(outage)
-	m.store.setSilent(false)
+	m.setStoreSilent(false)
 	r.say("the store answers all new calls")
 	time.Sleep(stableWindow + 500*time.Millisecond)
 	// All machines are in touch and the core is stable.
--- a/review/testbed/mesh.go
+++ b/review/testbed/mesh.go
@@ -50,9 +50,7 @@
 		return nil, err
 	}
 	m := &mesh{record: r, folder: folder}
-	if m.store, err = newStore(r); err != nil {
-		return m, err
-	}
+	m.store = newStore(r)
 	for i, vm := range spec.vms {
 		if err := m.addVM(spec, i, vm); err != nil {
 			return m, err
@@ -77,7 +75,10 @@
 		return err
 	}
 	m.proxies = append(m.proxies, proxy)
-	n, err := newNode(s, m.store.address(), spec.bounds, m.folder, m.record)
+	if s.store, err = m.store.listen(fmt.Sprintf("127.0.4.%d", i+1)); err != nil {
+		return err
+	}
+	n, err := newNode(s, spec.bounds, m.folder, m.record)
 	if err != nil {
 		return err
 	}
@@ -144,6 +145,13 @@
 	}
 }
 
+// setStoreSilent starts or ends an outage of the store for all nodes.
+func (m *mesh) setStoreSilent(silent bool) {
+	for _, n := range m.nodes {
+		m.store.setSilent(n.store, silent)
+	}
+}
+
 // cut cuts a VM off from all other machines of the system, in both directions, or heals the cut. Its way to the store
 // stays. During a cut nothing passes and nothing is refused.
 func (m *mesh) cut(index int, severed bool) {
--- a/review/testbed/store.go
+++ b/review/testbed/store.go
@@ -42,39 +42,58 @@
 
 // A store is a stand-in of the platform's metadata store. It keeps its whole history.
 type store struct {
-	listener net.Listener
-	server   *http.Server
-	start    time.Time
-	record   *record
+	server *http.Server
+	start  time.Time
+	record *record
 
 	mu      sync.Mutex
 	changed chan struct{}   // Guarded by mu; closed and replaced at each change.
 	version uint64          // Guarded by mu.
 	rows    map[string]row  // Guarded by mu; by table, part and key, with deleted rows.
 	objects map[string]bool // Guarded by mu.
-	silent  bool            // Guarded by mu; calls that arrive get no response.
+	silent  map[string]bool // Guarded by mu; addresses at which calls that arrive get no response.
+	waiting map[string]int  // Guarded by mu; calls that wait for changes, by address.
 }
 
-func newStore(r *record) (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+func newStore(r *record) *store {
+	s := &store{
+		start: time.Now(), record: r, changed: make(chan struct{}), rows: map[string]row{}, objects: map[string]bool{},
+		silent: map[string]bool{}, waiting: map[string]int{},
 	}
-	s := &store{listener: l, start: time.Now(), record: r, changed: make(chan struct{}), rows: map[string]row{}, objects: map[string]bool{}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.server.Serve(l) }()
-	return s, nil
+	return s
 }
 
-func (s *store) address() string { return s.listener.Addr().String() }
+// listen opens another address of the store. Each node has one, so that its calls can be told from those of others.
+func (s *store) listen(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = s.server.Serve(l) }()
+	return l.Addr().String(), nil
+}
 
 func (s *store) close() { _ = s.server.Close() }
 
-// setSilent starts or ends an outage in which calls that arrive get no response.
-func (s *store) setSilent(silent bool) {
+// setSilent starts or ends an outage for a node, in which calls that arrive get no response.
+func (s *store) setSilent(address string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silent = silent
+	s.silent[address] = silent
+}
+
+// watched reports whether a node waits for changes.
+func (s *store) watched(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting[address] > 0
+}
+
+func (s *store) addWaiting(address string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[address] += n
 }
 
 // put writes a row as the operator does. The change is acknowledged when it returns.
@@ -100,11 +119,12 @@
 	if err != nil {
 		return
 	}
+	address := localAddress(r)
 	s.mu.Lock()
-	silent := s.silent
+	silent := s.silent[address]
 	s.mu.Unlock()
 	if silent {
-		s.record.write("store gives no response to %s %s from %s", r.Method, r.URL.RequestURI(), r.RemoteAddr)
+		s.record.write("store gives no response to %s %s at %s", r.Method, r.URL.RequestURI(), address)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -115,7 +135,9 @@
 	case path == "rows-get":
 		s.serveGet(w, r)
 	case path == "rows-feed":
+		s.addWaiting(address, 1)
 		s.serveFeed(w, r)
+		s.addWaiting(address, -1)
 	case strings.HasPrefix(path, "blob-put/"):
 		s.servePutObject(w, r, strings.TrimPrefix(path, "blob-put/"))
 	default:
@@ -123,6 +145,15 @@
 	}
 }
 
+// localAddress returns the address of the store at which a call arrived.
+func localAddress(r *http.Request) string {
+	a, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return ""
+	}
+	return a.String()
+}
+
 func (s *store) serveTransaction(w http.ResponseWriter, body []byte) {
 	var t transaction
 	if err := json.Unmarshal(body, &t); err != nil {
