--- a/review/testbed/caller.go
+++ b/review/testbed/caller.go
@@ -19,13 +19,12 @@
 
 // An answer is what a caller has got for a request.
 type answer struct {
-	id      string
-	address string // Of the node.
-	sent    time.Time
-	took    time.Duration
-	status  int // 0 if there was no answer.
-	err     error
-	body    string
+	id     string
+	sent   time.Time
+	took   time.Duration
+	status int // 0 if there was no answer.
+	err    error
+	body   string
 }
 
 // A caller sends requests to one node over connections that it keeps.
@@ -43,7 +42,7 @@
 
 // send sends a request once.
 func (c *caller) send(r request) answer {
-	a := answer{id: fmt.Sprintf("%016x", requestNumber.Add(1)), address: c.address, sent: time.Now()}
+	a := answer{id: fmt.Sprintf("%016x", requestNumber.Add(1)), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), r.deadline+time.Second)
 	defer cancel()
 	h, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.address+r.path, http.NoBody)
--- a/review/testbed/node.go
+++ b/review/testbed/node.go
@@ -38,10 +38,9 @@
 	log      string // Path of the output.
 	record   *record
 
-	mu        sync.Mutex
-	command   *exec.Cmd     // Guarded by mu; nil before the first start.
-	done      chan struct{} // Guarded by mu; closed when the process has ended.
-	disturbed []time.Time   // Guarded by mu; times of signals and starts.
+	mu      sync.Mutex
+	command *exec.Cmd     // Guarded by mu; nil before the first start.
+	done    chan struct{} // Guarded by mu; closed when the process has ended.
 }
 
 // newNode writes the settings file of a node, which fills the template of the deploy file.
@@ -84,7 +83,6 @@
 	}
 	done := make(chan struct{})
 	processes.add(c.Process)
-	n.disturbed = append(n.disturbed, time.Now())
 	n.command, n.done = c, done
 	go func() {
 		err := c.Wait()
@@ -102,37 +100,9 @@
 		return
 	}
 	n.record.write("%v to %s", s, n.name)
-	n.disturbed = append(n.disturbed, time.Now())
 	_ = n.command.Process.Signal(s)
 }
 
-// terminate ends the process as planned and waits for its end, and kills it after the time that it has.
-func (n *node) terminate(grace time.Duration) {
-	n.signal(syscall.SIGTERM)
-	n.mu.Lock()
-	done := n.done
-	n.mu.Unlock()
-	select {
-	case <-done:
-	case <-time.After(grace):
-		n.kill()
-	}
-}
-
-// inTouch reports whether there was no signal to the process and no start in the stable window before a time, and none of
-// the two since.
-func (n *node) inTouch(at time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for i, t := range n.disturbed {
-		stopped := i%2 == 1 && (i+1 == len(n.disturbed) || n.disturbed[i+1].After(at)) // A signal that is followed by a start.
-		if t.Before(at) && (at.Sub(t) < stableWindow || stopped) {
-			return false
-		}
-	}
-	return true
-}
-
 // kill kills the process and waits for its end.
 func (n *node) kill() {
 	n.signal(syscall.SIGKILL)
--- a/review/testbed/upstream.go
+++ b/review/testbed/upstream.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -49,8 +48,7 @@
 	stopped chan struct{}
 
 	mu       sync.Mutex
-	lost     float64       // Guarded by mu; share of the requests whose answer is lost with a reset of the connection.
-	starts   int           // Guarded by mu; restarts so far.
+	starts   int           // Guarded by mu; starts after a crash.
 	sequence int           // Guarded by mu.
 	server   *http.Server  // Guarded by mu; nil while the upstream is down.
 	gone     chan struct{} // Guarded by mu; closed when the upstream crashes.
@@ -91,43 +89,20 @@
 	u.server = nil
 }
 
-// restart starts a crashed upstream again, as a process with another id that knows nothing of before.
-func (u *upstream) restart() error {
+// crashAndReturn crashes the upstream and starts it again after crashTime, as a process with another id that knows nothing
+// of before.
+func (u *upstream) crashAndReturn() {
+	u.crash()
+	time.Sleep(crashTime)
 	u.mu.Lock()
 	u.starts++
 	u.id, u.born, u.sequence = fmt.Sprintf("%.6s-%d", u.id, u.starts), time.Now().UnixMilli(), 0
 	u.mu.Unlock()
-	return u.start()
-}
-
-// loseAnswers sets the share of the requests whose answer is lost with a reset of the connection.
-func (u *upstream) loseAnswers(share float64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.lost = share
-}
-
-// crashAndReturn crashes the upstream and starts it again after crashTime.
-func (u *upstream) crashAndReturn() {
-	u.crash()
-	time.Sleep(crashTime)
-	if err := u.restart(); err != nil {
+	if err := u.start(); err != nil {
 		u.record.write("%s has not come back: %v", u.id, err)
 	}
 }
 
-// resetConnection resets the connection of a request.
-func resetConnection(w http.ResponseWriter) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 func (u *upstream) sendHeartbeats(gone <-chan struct{}) {
 	for {
 		u.sendHeartbeat()
@@ -201,7 +176,6 @@
 		at: time.Now(), id: callID, path: r.URL.RequestURI(), tenant: r.Header.Get("X-Baobabdale-Tenant-Id"), upstream: id,
 		service: u.service,
 	})
-	lost := u.lost
 	u.mu.Unlock()
 	u.record.write("%s runs %s %s %s", id, callID, r.Method, r.URL.RequestURI())
 	if r.URL.Path == crashPath {
@@ -216,10 +190,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	if rand.Float64() < lost {
-		resetConnection(w)
-		return
-	}
 	w.Header().Set("X-Baobabdale-Server-Stamp", id+"."+callID)
 	_, _ = fmt.Fprintf(w, "%s %s %s\n", u.service, id, callID)
 }
