review: one crash of an upstream stops a popular read for a minute

All requests that run at a crash are suspects, and two of a fingerprint refuse it on all nodes for 60 s; two equal requests at one crash count as two crashes.

--- a/review/testbed/case_crash.go
+++ b/review/testbed/case_crash.go
@@ -46,7 +46,7 @@
 	}
 	for range killRounds {
 		if trouble {
-			if err := m.restartAll(); err != nil {
+			if err := m.restartAll(restartDelay); err != nil {
 				return false, err
 			}
 		}
@@ -59,15 +59,15 @@
 	return m.countRetries(c) > maxRetries, nil
 }
 
-// restartAll kills all nodes at the same moment and waits until they are ready again.
-func (m *mesh) restartAll() error {
+// restartAll kills all nodes at the same moment, starts them after a delay and waits until they are ready again.
+func (m *mesh) restartAll(delay time.Duration) error {
 	m.record.say("all nodes are killed")
 	var killed sync.WaitGroup
 	for _, n := range m.nodes {
 		killed.Go(n.kill)
 	}
 	killed.Wait()
-	time.Sleep(restartDelay)
+	time.Sleep(delay)
 	return m.start()
 }
 
--- a/review/testbed/main.go
+++ b/review/testbed/main.go
@@ -15,7 +15,7 @@
 
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
-	"config": runConfigCase, "quota": runQuotaCase, "watchers": runWatchersCase, "path": runPathCase, "crash": runCrashCase, "coordinator": runCoordinatorCase,
+	"config": runConfigCase, "quota": runQuotaCase, "watchers": runWatchersCase, "path": runPathCase, "crash": runCrashCase, "popular": runPopularCase, "coordinator": runCoordinatorCase,
 }
 
 func main() {
