node: log lines that tell how a version arrived and how long a watch took

The log did not tell a watch request that is still in flight from one whose answer was ignored, nor a node that watches from one that relies on others.

Now each node logs when it starts and stops watching the head, how long a failed watch request took, and on which path each version came. No logic is changed.

--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -43,6 +43,17 @@
 	crossDomain bool   // Learned from another failure domain, so this node broadcasts it in its own.
 }
 
+// installPath says how a node learned of a version.
+type installPath string
+
+// Paths on which versions reach a node.
+const (
+	viaSource    installPath = "source"
+	viaBroadcast installPath = "broadcast"
+	viaMember    installPath = "member" // Fetched from it.
+	viaOperator  installPath = "operator"
+)
+
 // A configurationController fetches configuration versions, puts them in force and broadcasts them. It owns the version
 // in force on the blackboard.
 type configurationController struct {
@@ -123,7 +134,7 @@
 	if m.GetVersion().GetNumber() <= c.board.ActiveVersion().Number() {
 		return
 	}
-	if _, err := c.applyDelta(m.GetDelta()); err != nil {
+	if _, err := c.applyDelta(m.GetDelta(), viaBroadcast); err != nil {
 		c.logger.Debug("delta not applicable", "number", m.GetVersion().GetNumber(), "err", err)
 		c.observeVersion(m.GetVersion(), address, false)
 	}
@@ -132,7 +143,7 @@
 // installAccepted puts a version that an operator has accepted through this node in force, and broadcasts it.
 func (c *configurationController) installAccepted(s *configuration.Snapshot) error {
 	c.board.RaiseHighestNumber(s.Version().Number())
-	if err := c.install(s); err != nil {
+	if err := c.install(s, viaOperator); err != nil {
 		return err
 	}
 	if c.board.ActiveVersion() == s.Version() {
@@ -238,7 +249,7 @@
 		}
 		return err
 	}
-	if err := c.install(s); err != nil {
+	if err := c.install(s, viaSource); err != nil {
 		return err
 	}
 	if broadcast {
@@ -332,7 +343,7 @@
 		return errors.Errorf("fetch version: member has only %d", m.GetVersion().GetNumber())
 	}
 	if len(m.GetDelta()) > 0 {
-		if _, err := c.applyDelta(m.GetDelta()); err == nil {
+		if _, err := c.applyDelta(m.GetDelta(), viaMember); err == nil {
 			return nil
 		}
 	}
@@ -347,12 +358,12 @@
 	if err != nil {
 		return errors.Wrap(err, "fetch version")
 	}
-	return c.install(s)
+	return c.install(s, viaMember)
 }
 
 // applyDelta applies a delta to the version in force and installs the result. It returns an error if the delta has
 // another base.
-func (c *configurationController) applyDelta(data []byte) (*configuration.Snapshot, error) {
+func (c *configurationController) applyDelta(data []byte, via installPath) (*configuration.Snapshot, error) {
 	delta, err := configuration.DecodeDelta(data)
 	if err != nil {
 		return nil, err
@@ -365,12 +376,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return s, c.install(s)
+	return s, c.install(s, via)
 }
 
 // install validates a version and puts it in force. An invalid version is rejected as a whole, and the version in force
 // is kept. A version that is not newer is ignored.
-func (c *configurationController) install(s *configuration.Snapshot) error {
+func (c *configurationController) install(s *configuration.Snapshot, via installPath) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Version().Number() <= c.board.ActiveVersion().Number() {
@@ -389,7 +400,7 @@
 	}
 	c.board.SetRejected(nil)
 	c.history = append(c.history[max(0, len(c.history)-historyLength+1):len(c.history):len(c.history)], s)
-	c.logger.Info("configuration in force", "number", s.Version().Number(), "digest", s.Version().Digest())
+	c.logger.Info("configuration in force", "number", s.Version().Number(), "digest", s.Version().Digest(), "via", string(via))
 	return nil
 }
 
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -34,12 +34,18 @@
 	case <-c.joined:
 	case <-time.After(isolatedWatchDelay):
 	}
+	watching := false
 	for pause := watchBackoffMin; ctx.Err() == nil; {
-		if !c.members.hasRole(headRole, headWatchers) {
+		if now := c.members.hasRole(headRole, headWatchers); now != watching {
+			watching = now
+			c.logger.Info("watch of the head", "watching", watching)
+		}
+		if !watching {
 			sleep(ctx, c.headPollInterval)
 			continue
 		}
 		before := c.board.ActiveVersion()
+		asked := c.now()
 		head, err := w.Watch(ctx)
 		if err == nil {
 			err = c.loadIfNewer(ctx, head, c.publishesHead())
@@ -52,7 +58,7 @@
 			continue
 		}
 		if ctx.Err() == nil {
-			c.logger.Warn("head not followed", "err", err, "next", pause)
+			c.logger.Warn("head not followed", "err", err, "after", c.now().Sub(asked), "next", pause)
 		}
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, watchBackoffMax)
