platform: a watch request is given up soon after its wait

Cause: a request that waits for changes was given up 28 s after it was sent, also when it asked for a wait of 1 s. One that the store takes and never answers, as in a silent outage, made the node deaf for that long; all nodes renew theirs after a version, so all of them.

The longest pause after a failure falls from 800 to 500 ms (mean), so that the worst case, a read in flight as the outage ends, is over within the 3 s after which nodes count as in touch.

--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -31,7 +31,9 @@
 	return h, nil
 }
 
-func (s *advancingSource) Watch(ctx context.Context) (release.Head, error) { return s.Head(ctx) }
+func (s *advancingSource) Watch(ctx context.Context, _ time.Duration) (release.Head, error) {
+	return s.Head(ctx)
+}
 
 func (s *advancingSource) Load(_ context.Context, h release.Head) (*configuration.Snapshot, error) {
 	return s.snapshot(h.Version().Number()), nil
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -12,6 +12,9 @@
 	// readers among them, which broadcast new versions, fail unnoticed, the probes of the other watcher spread a
 	// version within 1 to 2 s.
 	headWatchers = 3
+	// watchWait is how long a watch request waits for a change. A request whose response is lost is noticed only after
+	// that, so it bounds how long a node can miss versions while the source answers other requests.
+	watchWait = 900 * time.Millisecond
 	// changeDebounce is the pause after a version came into force before the next change is awaited, so that versions
 	// in quick succession are applied together. A version of 700 routes takes about 10 ms of CPU time, which is 60 ms
 	// on a VM with a share of 0.16 cores; at five versions per second, nodes had no time left for calls.
@@ -22,7 +25,7 @@
 	// watchBackoffMin and watchBackoffMax bound the mean pause after a failed watch. The maximum still allows a version
 	// to come into force within one or two seconds after the platform recovers.
 	watchBackoffMin = 100 * time.Millisecond
-	watchBackoffMax = 800 * time.Millisecond
+	watchBackoffMax = 500 * time.Millisecond
 )
 
 // watchHead watches the head of a source that reports changes. In a large failure domain only headWatchers members do
@@ -46,7 +49,7 @@
 		}
 		before := c.board.ActiveVersion()
 		asked := c.now()
-		head, err := w.Watch(ctx)
+		head, err := w.Watch(ctx, watchWait)
 		if err == nil {
 			err = c.loadIfNewer(ctx, head, c.publishesHead())
 		}
--- a/baobabnode/source.go
+++ b/baobabnode/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
@@ -30,6 +31,6 @@
 type Watcher interface {
 	Source
 	// Watch blocks until the head has changed since the last call and returns it. If nothing changes, it returns the
-	// known head after some time.
-	Watch(ctx context.Context) (release.Head, error)
+	// known head after the given wait or earlier. It fails soon after the wait if the source does not respond.
+	Watch(ctx context.Context, wait time.Duration) (release.Head, error)
 }
