node: each node verifies the head itself when others are silent

Cause: only three members of a failure domain watch the store, and the others have no sign by which they could tell their silence from the absence of news. When they are cut off, frozen or killed together, nobody in the domain follows the store until they are declared dead.

Change: the first member of a domain tells the others every 0.9 s through the broadcast tree which version is the newest and how long ago the store said so. A node without such news for 1.3 to 1.6 s (by its place in the order) confirms the head with the source, and tells the others. The other two watchers wait 4 s at a time. It holds for sources that are polled as well.

Tests: TestVerificationDue, TestHeadIsVerifiedWhenOthersAreSilent (with the loop removed: 'the version in the source does not come into force' after 30 s), TestHeadUpdateVerifiesOnlyVersionInForce.

--- a/baobabnode/broadcaster.go
+++ b/baobabnode/broadcaster.go
@@ -31,6 +31,7 @@
 	members   *memberTable
 	transport *peer.Transport
 	tomb      *tomb.Tomb
+	now       func() time.Time
 	logger    *log.Logger
 }
 
@@ -64,16 +65,22 @@
 		branches = t.Branches(r, broadcastFanout)
 		return nil
 	})
+	received, age := b.now(), m.GetHead().GetAgeMs()
 	for _, branch := range branches {
-		b.goTracked(func() { b.sendToBranch(proto.CloneOf(m), branch) })
+		b.goTracked(func() { b.sendToBranch(proto.CloneOf(m), branch, received, age) })
 	}
 }
 
-func (b *broadcaster) sendToBranch(m *wire.Broadcast, branch membership.Branch) {
+// sendToBranch sends an update to a member of a branch. The age of a head update is that at the time of receipt and grows
+// until it is sent.
+func (b *broadcaster) sendToBranch(m *wire.Broadcast, branch membership.Branch, received time.Time, ageMs int64) {
 	tried := map[string]bool{}
 	for range broadcastAttempts {
 		child := branch.Child()
 		tried[child.ID()] = true
+		if h := m.GetHead(); h != nil {
+			h.AgeMs = ageMs + b.now().Sub(received).Milliseconds()
+		}
 		if b.send(m, child, branch.HashRange()) {
 			return
 		}
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -7,12 +7,15 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"gopkg.in/tomb.v2"
 
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
 // advancingSource returns a newer version each time the head is read.
@@ -27,8 +30,9 @@
 	return release.NewHead(s.snapshot(n).Version(), n), nil
 }
 
-func (s *advancingSource) Confirm(_ context.Context, h release.Head) (release.Head, error) {
-	return h, nil
+func (s *advancingSource) Confirm(context.Context, release.Head) (release.Head, error) {
+	n := s.number.Load()
+	return release.NewHead(s.snapshot(n).Version(), n), nil
 }
 
 func (s *advancingSource) Watch(ctx context.Context, _ time.Duration) (release.Head, error) {
@@ -39,16 +43,34 @@
 	return s.snapshot(h.Version().Number()), nil
 }
 
+// newTestConfigurationController returns the controller of a node that knows the given members of its failure domain.
+func newTestConfigurationController(board *blackboard.Board, source Source, others ...string) *configurationController {
+	table := membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1))
+	for _, id := range others {
+		table.Merge(time.Now(), []membership.Member{membership.NewMember(id, "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1)})
+	}
+	members := newMemberTable(board, table)
+	return &configurationController{
+		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
+		members: members, joined: make(chan struct{}), fetchRequests: make(chan fetchRequest, fetchQueueSize),
+		broadcaster:  &broadcaster{members: members, tomb: stoppedTomb(), now: time.Now, logger: log.New(io.Discard)},
+		verification: release.NewVerification(time.Now()), headChecks: newHeadCheckCounters(metrics.NewSet()),
+	}
+}
+
+// stoppedTomb returns a tomb with which a broadcaster sends nothing.
+func stoppedTomb() *tomb.Tomb {
+	t := new(tomb.Tomb)
+	t.Kill(nil)
+	return t
+}
+
 // TestRapidVersionsAreDebounced guards against a node that spends its CPU time on each of many versions that replace
 // one another within a second, and against a node that applies none of them.
 func TestRapidVersionsAreDebounced(t *testing.T) {
 	board := blackboard.NewBoard()
 	source := &advancingSource{}
-	c := &configurationController{
-		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
-		members: newMemberTable(board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1))),
-	}
-	c.joined = make(chan struct{})
+	c := newTestConfigurationController(board, source)
 	close(c.joined)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -69,16 +91,81 @@
 	}
 }
 
+// TestHeadIsVerifiedWhenOthersAreSilent guards against a node that keeps an old version for as long as the members that
+// watch the head are silent but not yet declared dead.
+func TestHeadIsVerifiedWhenOthersAreSilent(t *testing.T) {
+	board := blackboard.NewBoard()
+	source := &advancingSource{}
+	source.number.Store(6)
+	c := newTestConfigurationController(board, source, "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9")
+	if c.members.hasRole(headRole, headWatchers) {
+		t.Fatal("the node watches the head itself")
+	}
+	close(c.joined)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	done := make(chan error, 1)
+	go func() { done <- c.run(ctx) }()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	for board.ActiveVersion().Number() < 6 {
+		if ctx.Err() != nil {
+			t.Fatal("the version in the source does not come into force")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if age := c.verification.Age(time.Now()); age > 10*time.Second {
+		t.Errorf("verified %s ago after the source was asked", age)
+	}
+}
+
+// TestHeadUpdateVerifiesOnlyVersionInForce guards against a node that counts as up to date because a member has told it of
+// a version that it does not have.
+func TestHeadUpdateVerifiesOnlyVersionInForce(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		told     uint64
+		age      time.Duration
+		wantAge  time.Duration
+		wantKept bool // The verification stays as it was.
+	}{
+		{"version in force", 4, 300 * time.Millisecond, 300 * time.Millisecond, false},
+		{"older version", 3, 0, 0, false},
+		{"newer version", 5, 0, 0, true},
+		{"older verification", 4, time.Minute, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			board := blackboard.NewBoard()
+			source := &advancingSource{}
+			controller := newTestConfigurationController(board, source)
+			if err := controller.install(source.snapshot(4), viaSource); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			controller.verification.Verify(start)
+			now := start.Add(time.Second)
+			controller.receiveHead(now, &wire.HeadUpdate{Version: &wire.Version{Number: c.told}, AgeMs: c.age.Milliseconds()}, "")
+			want := c.wantAge
+			if c.wantKept {
+				want = time.Second
+			}
+			if age := controller.verification.Age(now); age != want {
+				t.Errorf("age = %s, want %s", age, want)
+			}
+			if queued := len(controller.fetchRequests) == 1; queued != (c.told > 4) {
+				t.Errorf("fetch queued = %t", queued)
+			}
+		})
+	}
+}
+
 // TestIsolatedNodeDelaysHeadWatch guards against nodes that start together and all watch the head, because each of them
 // knows only itself at first. A node that finds no member watches the head after a delay.
 func TestIsolatedNodeDelaysHeadWatch(t *testing.T) {
 	board := blackboard.NewBoard()
 	source := &advancingSource{}
-	c := &configurationController{
-		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
-		members: newMemberTable(board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1))),
-		joined:  make(chan struct{}),
-	}
+	c := newTestConfigurationController(board, source)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	start := time.Now()
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -4,17 +4,19 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	release "github.com/baobabdale/baobabdale/baobabrelease"
 )
 
 const (
 	// headWatchers is the number of members per failure domain that watch the head of a Watcher source. Each change
-	// costs the platform one read per watcher: with 24 failure domains, 72 of its 2,000 reads per second. If the head
-	// readers among them, which broadcast new versions, fail unnoticed, the probes of the other watcher spread a
-	// version within 1 to 2 s.
+	// costs the platform one read per watcher: with 24 failure domains, 72 of its 2,000 reads per second.
 	headWatchers = 3
-	// watchWait is how long a watch request waits for a change. A request whose response is lost is noticed only after
-	// that, so it bounds how long a node can miss versions while the source answers other requests.
-	watchWait = 900 * time.Millisecond
+	// otherWatchWait is how long the watch requests of the watchers but the first wait for a change. A request whose
+	// response is lost is noticed only after that; meanwhile the first watcher tells the others.
+	otherWatchWait = 4 * time.Second
+	// maxWatchDelay bounds how much shorter the first watcher's requests are to make up for a slow source.
+	maxWatchDelay = 600 * time.Millisecond
 	// changeDebounce is the pause after a version came into force before the next change is awaited, so that versions
 	// in quick succession are applied together. A version of 700 routes takes about 10 ms of CPU time, which is 60 ms
 	// on a VM with a share of 0.16 cores; at five versions per second, nodes had no time left for calls.
@@ -31,15 +33,13 @@
 // watchHead watches the head of a source that reports changes. In a large failure domain only headWatchers members do
 // so; the others learn of new versions from them.
 func (c *configurationController) watchHead(ctx context.Context, w Watcher) {
-	select {
-	case <-ctx.Done():
+	if !c.awaitJoined(ctx) {
 		return
-	case <-c.joined:
-	case <-time.After(isolatedWatchDelay):
 	}
-	watching := false
+	watching, delay := false, time.Duration(0)
 	for pause := watchBackoffMin; ctx.Err() == nil; {
-		if now := c.members.hasRole(headRole, headWatchers); now != watching {
+		position := c.members.rolePosition(headRole)
+		if now := position < headWatchers; now != watching {
 			watching = now
 			c.logger.Info("watch of the head", "watching", watching)
 		}
@@ -47,12 +47,23 @@
 			sleep(ctx, c.headPollInterval)
 			continue
 		}
+		wait := otherWatchWait
+		if position == 0 {
+			wait = release.VerifyInterval - delay
+		}
 		before := c.board.ActiveVersion()
 		asked := c.now()
-		head, err := w.Watch(ctx, watchWait)
+		head, err := w.Watch(ctx, wait)
 		if err == nil {
 			err = c.loadIfNewer(ctx, head, c.publishesHead())
 		}
+		if err == nil {
+			c.verification.Verify(c.now())
+			delay = min(max(c.now().Sub(asked)-wait, 0), maxWatchDelay)
+		}
+		if position == 0 {
+			c.announceHead()
+		}
 		if err == nil {
 			pause = watchBackoffMin
 			if c.board.ActiveVersion() != before {
@@ -68,6 +79,17 @@
 	}
 }
 
+// awaitJoined waits until the node has joined the mesh, or for isolatedWatchDelay. It returns false if ctx ends first.
+func (c *configurationController) awaitJoined(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.joined:
+	case <-time.After(isolatedWatchDelay):
+	}
+	return true
+}
+
 // publishesHead reports whether this node broadcasts versions that it reads, which the head readers do if the failure
 // domain has members that do not watch the head.
 func (c *configurationController) publishesHead() bool {
--- /dev/null
+++ b/baobabnode/headverifier.go
@@ -0,0 +1,82 @@
+package baobabnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	release "github.com/baobabdale/baobabdale/baobabrelease"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
+)
+
+const (
+	// verifyTimeout bounds a request to the source by which a node verifies the head.
+	verifyTimeout = 500 * time.Millisecond
+	// verifyRecheck bounds a pause of the verifying loop, in which the members may change.
+	verifyRecheck = 500 * time.Millisecond
+)
+
+// verifyHead asks the source for the head whenever neither its own watch nor another member has shown for too long that
+// the version in force is the newest one. So a node keeps up although all members on whose news it relies are silent.
+func (c *configurationController) verifyHead(ctx context.Context) {
+	if !c.awaitJoined(ctx) {
+		return
+	}
+	c.verification.Verify(c.now())
+	for jitter := rand.Float64(); ctx.Err() == nil; {
+		order := c.members.rendezvousOrder(headRole, c.members.selfRecord().FailureDomain())
+		now := c.now()
+		due := c.verification.Due(now, c.members.position(order), len(order), jitter)
+		if now.Before(due) {
+			sleep(ctx, min(due.Sub(now), verifyRecheck))
+			continue
+		}
+		c.askSource(ctx, now)
+		jitter = rand.Float64()
+	}
+}
+
+// askSource verifies the head with the source, puts a newer version in force and tells the failure domain.
+func (c *configurationController) askSource(ctx context.Context, now time.Time) {
+	age := c.verification.Age(now)
+	before := c.board.ActiveVersion()
+	attempt, cancel := context.WithTimeout(ctx, verifyTimeout)
+	err := c.confirmHead(attempt, release.Head{})
+	cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		c.headChecks.failed.Inc()
+		c.verification.Fail(c.now())
+		c.logger.Debug("head not verified", "err", err, "age", age)
+		return
+	}
+	c.headChecks.done.Inc()
+	c.verification.Verify(now)
+	if c.board.ActiveVersion() != before {
+		c.logger.Info("version found by asking the source", "number", c.board.ActiveVersion().Number(), "age", age)
+		c.publish(false)
+	}
+	c.announceHead()
+}
+
+// announceHead tells the failure domain until when the version in force is known to be the newest one.
+func (c *configurationController) announceHead() {
+	version := c.board.ActiveVersion()
+	if version.Number() == 0 {
+		return
+	}
+	c.broadcaster.broadcastInDomain(&wire.Broadcast{Update: &wire.Broadcast_Head{Head: &wire.HeadUpdate{
+		Version: toWireVersion(version), AgeMs: c.verification.Age(c.now()).Milliseconds(),
+	}}})
+}
+
+// receiveHead records what a member says about the head. A version that is not in force here yet proves nothing.
+func (c *configurationController) receiveHead(now time.Time, m *wire.HeadUpdate, address string) {
+	c.verification.Hear(now)
+	c.observeVersion(m.GetVersion(), address, false)
+	if m.GetVersion().GetNumber() <= c.board.ActiveVersion().Number() || c.isRejectedWire(m.GetVersion()) {
+		c.verification.Verify(now.Add(-time.Duration(max(m.GetAgeMs(), 0)) * time.Millisecond))
+	}
+}
--- a/baobabnode/membertable.go
+++ b/baobabnode/membertable.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -171,14 +172,20 @@
 }
 
 // hasRole reports whether this node is among the first count members of its failure domain for a role.
-func (m *memberTable) hasRole(role string, count int) bool {
-	list := m.rendezvousOrder(role, m.selfRecord().FailureDomain())
-	for i := range min(count, len(list)) {
-		if list[i].ID() == m.self {
-			return true
-		}
+func (m *memberTable) hasRole(role string, count int) bool { return m.rolePosition(role) < count }
+
+// rolePosition returns the position of this node in the order of its failure domain for a role.
+func (m *memberTable) rolePosition(role string) int {
+	return m.position(m.rendezvousOrder(role, m.selfRecord().FailureDomain()))
+}
+
+// position returns the position of this node in an order, or the length of the order if it is not in it.
+func (m *memberTable) position(order []membership.Member) int {
+	i := slices.IndexFunc(order, func(v membership.Member) bool { return v.ID() == m.self })
+	if i < 0 {
+		return len(order)
 	}
-	return false
+	return i
 }
 
 // randomMember returns a random live member of a failure domain other than this node.
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -186,7 +186,7 @@
 		membership.WithSuspicionTimeout(s.Membership().SuspicionTimeout()),
 		membership.WithTickInterval(s.Membership().ProbeInterval()))
 	n.members = newMemberTable(n.board, table)
-	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, logger: n.logger}
+	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, now: n.now, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
 	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
 	n.accounts = n.newAccountController()
@@ -209,6 +209,7 @@
 		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
 		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
 		headPollInterval: s.Platform().PollInterval(), fetchRequests: make(chan fetchRequest, fetchQueueSize), joined: make(chan struct{}),
+		verification: release.NewVerification(n.now()), headChecks: newHeadCheckCounters(n.metrics),
 	}
 	n.accounts.configuration, n.configuration.confirmed = n.configuration, n.accounts.recordConfirmed
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -97,13 +97,15 @@
 // receiveBroadcast forwards an update before it applies it, to keep the latency of the broadcast tree low.
 func (h *peerHandler) receiveBroadcast(m *wire.Broadcast) {
 	h.broadcaster.relay(m)
+	address := ""
+	if origin, ok := h.membership.members.member(m.GetOrigin()); ok {
+		address = origin.PeerAddress()
+	}
 	switch t := m.GetUpdate().(type) {
 	case *wire.Broadcast_Configuration:
-		address := ""
-		if origin, ok := h.membership.members.member(m.GetOrigin()); ok {
-			address = origin.PeerAddress()
-		}
 		h.configuration.receiveUpdate(t.Configuration, address)
+	case *wire.Broadcast_Head:
+		h.configuration.receiveHead(h.now(), t.Head, address)
 	case *wire.Broadcast_Members:
 		h.membership.merge(t.Members.GetRecords())
 	case *wire.Broadcast_Quarantine:
--- a/baobabnode/upstreamcontroller_test.go
+++ b/baobabnode/upstreamcontroller_test.go
@@ -19,7 +19,7 @@
 	board := blackboard.NewBoard()
 	self := membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1)
 	m := newMemberTable(board, membership.NewTable(self))
-	b := &broadcaster{members: m, tomb: new(tomb.Tomb), logger: log.New(io.Discard)}
+	b := &broadcaster{members: m, tomb: new(tomb.Tomb), now: time.Now, logger: log.New(io.Discard)}
 	return &upstreamController{
 		board: board, registry: upstream.NewRegistry(), gate: admission.NewGate(), now: now, logger: log.New(io.Discard),
 		membership: &membershipController{board: board, members: m, broadcaster: b, now: now, logger: log.New(io.Discard)},
