node: a stopping node refuses calls that it could not answer any more

It happens to requests whose head or body is under way when the listener closes, and to those whose deadline is after the end of the stop.

Cause: only calls to the upstream of the stopping node were compared with the end of the stop; the ingress passed on everything else.

Change: a call whose deadline is after the end of the stop is refused at once as 'draining', not run.

--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -96,7 +96,7 @@
 	now          func() time.Time
 	logger       *log.Logger
 	decisions    *decisionLog
-	shutdownAt   atomic.Pointer[time.Time] // When the drain timeout ends; nil unless the node is shutting down.
+	shutdown     atomic.Pointer[shutdown] // Nil unless the node is stopping.
 
 	pendingRecords sync.WaitGroup // Answers that are being recorded.
 }
@@ -137,13 +137,15 @@
 	return a.dependencies.admitRoot(now, r)
 }
 
-// setShutdownTime sets the time at which a node that is shutting down exits. From then on, calls with a later deadline
-// are refused.
-func (a *Admitter) setShutdownTime(end time.Time) { a.shutdownAt.Store(&end) }
+// stop sets the course of the shutdown. From then on, calls that it would interrupt are refused.
+func (a *Admitter) stop(d shutdown) { a.shutdown.Store(&d) }
+
+// stopping returns the course of the shutdown, or nil unless the node is stopping.
+func (a *Admitter) stopping() *shutdown { return a.shutdown.Load() }
 
 func (a *Admitter) shutsDownBefore(deadline time.Time) bool {
-	end := a.shutdownAt.Load()
-	return end != nil && end.Before(deadline)
+	d := a.stopping()
+	return d != nil && d.end.Before(deadline)
 }
 
 // admitWithClaim claims the key before it queues the call, so that no slot is held while the platform answers. Once
--- a/baobabnode/ingress_test.go
+++ b/baobabnode/ingress_test.go
@@ -55,7 +55,7 @@
 	endpoint := route.NewCandidate("n1", "127.0.0.1:1", "a", "r", 6, time.Time{})
 	board.SetEndpoints(map[string]*route.CandidateSet{"lanes": route.NewCandidateSet("lanes", "a", "r", []route.Candidate{endpoint})})
 	return &Ingress{
-		board: board, budgets: blackboard.NewShardedMap[budgetKey, *route.Budget](), ready: fixedReadiness(""), dependencies: &dependencyController{},
+		board: board, budgets: blackboard.NewShardedMap[budgetKey, *route.Budget](), ready: fixedReadiness(""), dependencies: &dependencyController{}, admitter: &Admitter{},
 		defaultTimeout: 5 * time.Second, maxTimeout: 30 * time.Second, now: func() time.Time { return now },
 	}
 }
@@ -102,6 +102,35 @@
 	}
 }
 
+// TestIngressStopping guards against a call that a stopping node passes on and cannot answer any more.
+func TestIngressStopping(t *testing.T) {
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		name             string
+		method           string
+		grace, left, due time.Duration // Until the end of the grace period, of the shutdown, and the deadline of the call.
+		refused          bool
+	}{
+		{"answered in time", "GET", 0, 3 * time.Second, time.Second, false},
+		{"unsafe, answered in time", "POST", 0, 3 * time.Second, time.Second, false},
+		{"ends with the node", "GET", 0, time.Second, time.Second, true},
+		{"ends after the node", "GET", 0, 1500 * time.Millisecond, 2 * time.Second, true},
+		{"ends after the node, in the grace period", "GET", time.Second, 1500 * time.Millisecond, 2 * time.Second, false},
+		{"target after the end, in the grace period", "GET", 500 * time.Millisecond, time.Second, 2 * time.Second, true},
+		{"unsafe, in the grace period", "POST", time.Second, 1500 * time.Millisecond, 2 * time.Second, true},
+	} {
+		g := newTestIngress(t, now)
+		g.admitter.stop(shutdown{graceEnd: now.Add(c.grace), end: now.Add(c.left)})
+		_, refusal := g.route(now, call.NewCall("1", "caller", c.method, "host", "/lanes", call.WithDeadline(now.Add(c.due))))
+		if refused := refusal != nil; refused != c.refused {
+			t.Errorf("%s: refusal %v, want one: %t", c.name, refusal, c.refused)
+		}
+		if refusal != nil && (refusal.Reason() != call.ReasonDraining || refusal.Outcome() != call.OutcomeNotRun) {
+			t.Errorf("%s: refusal %v, want draining and not run", c.name, refusal)
+		}
+	}
+}
+
 // TestIngressNotReady guards against calls through a node whose version may be outdated.
 func TestIngressNotReady(t *testing.T) {
 	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -353,11 +353,15 @@
 
 // stop shuts the node down gracefully. During the grace period callers may still send calls here, and the node admits
 // those whose deadline is before the end of the drain timeout, because the last upstream of a service has no other
-// node. Then other nodes stop sending calls, queued calls are refused as not run, and calls in progress complete.
+// node; calls to other nodes are taken as shutdown.takes says. Then other nodes stop sending calls, queued calls are refused
+// as not run, and calls in progress complete.
 func (n *Node) stop() {
 	n.stopping.Store(true)
 	n.logger.Info("stopping", "grace_period", n.overrides.gracePeriod, "drain_timeout", n.overrides.drainTimeout)
-	n.admitter.setShutdownTime(n.now().Add(n.overrides.drainTimeout - lingerTime))
+	now := n.now()
+	n.admitter.stop(shutdown{
+		graceEnd: now.Add(n.overrides.gracePeriod), end: now.Add(n.overrides.drainTimeout - lingerTime),
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), max(n.overrides.drainTimeout-lingerTime, 0))
 	defer cancel()
 	shutdown := make(chan error, 1)
