release, node: the first member of a polled source verifies by confirming the head

A poll of the head proves nothing, because a read may be stale. Now the first member confirms the head every 0.9 s and tells the others then; polls stay as they were.

--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -86,7 +86,11 @@
 	if w, ok := c.source.(Watcher); ok {
 		loops.Go(func() { c.watchHead(ctx, w) })
 	} else {
-		loops.Go(func() { c.pollAndAnnounce(ctx) })
+		loops.Go(func() {
+			for sleep(ctx, c.headPollInterval) {
+				c.pollHead(ctx)
+			}
+		})
 	}
 	loops.Wait()
 	return nil
@@ -212,19 +216,6 @@
 	}
 }
 
-// pollAndAnnounce reads the head like pollHead until ctx is done. The first member of the failure domain also tells the
-// others every VerifyInterval.
-func (c *configurationController) pollAndAnnounce(ctx context.Context) {
-	var announced time.Time
-	for sleep(ctx, c.headPollInterval) {
-		c.pollHead(ctx)
-		if now := c.now(); c.members.rolePosition(headRole) == 0 && now.Sub(announced) >= release.VerifyInterval {
-			announced = now
-			c.announceHead()
-		}
-	}
-}
-
 // loadHead reads the head and puts its version in force if it is newer. If broadcast is set, it also broadcasts the
 // version in its failure domain.
 func (c *configurationController) loadHead(ctx context.Context, broadcast bool) (release.Head, error) {
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -54,7 +54,7 @@
 		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
 		members: members, joined: make(chan struct{}), fetchRequests: make(chan fetchRequest, fetchQueueSize),
 		broadcaster:  &broadcaster{members: members, tomb: stoppedTomb(), now: time.Now, logger: log.New(io.Discard)},
-		verification: release.NewVerification(time.Now()), headChecks: newHeadCheckCounters(metrics.NewSet()),
+		verification: release.NewVerification(time.Now(), true), headChecks: newHeadCheckCounters(metrics.NewSet()),
 	}
 }
 
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -205,11 +205,12 @@
 	} else {
 		n.rollouts.orderPollInterval = s.Platform().PollInterval()
 	}
+	_, watched := source.(Watcher)
 	n.configuration = &configurationController{
 		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
 		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
 		headPollInterval: s.Platform().PollInterval(), fetchRequests: make(chan fetchRequest, fetchQueueSize), joined: make(chan struct{}),
-		verification: release.NewVerification(n.now()), headChecks: newHeadCheckCounters(n.metrics),
+		verification: release.NewVerification(n.now(), watched), headChecks: newHeadCheckCounters(n.metrics),
 	}
 	n.accounts.configuration, n.configuration.confirmed = n.configuration, n.accounts.recordConfirmed
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
--- a/baobabrelease/verification.go
+++ b/baobabrelease/verification.go
@@ -32,14 +32,19 @@
 // whether it came from the source or from another member. From that follows when the node must ask the source itself, by
 // its own facts alone, so that the silence of others does not leave it with an old version. It is safe for concurrent use.
 type Verification struct {
+	watched bool // The first member watches the source, so that it asks besides only if a watch remains without response.
+
 	mu         sync.Mutex
 	verifiedAt time.Time // Guarded by mu; the version in force was the newest one then. It never goes back.
 	failedAt   time.Time // Guarded by mu; end of the last request to the source that failed.
 	heardAt    time.Time // Guarded by mu; when another member last told of its verification, even of an old one.
 }
 
-// NewVerification returns a verification for a node whose version is known to be the newest one now.
-func NewVerification(now time.Time) *Verification { return &Verification{verifiedAt: now} }
+// NewVerification returns a verification for a node whose version is known to be the newest one now, and whose source tells
+// of changes if watched is set. A read of other sources may be stale and proves nothing.
+func NewVerification(now time.Time, watched bool) *Verification {
+	return &Verification{watched: watched, verifiedAt: now}
+}
 
 // Verify records that the version in force was the newest one at a time.
 func (v *Verification) Verify(at time.Time) {
@@ -76,7 +81,7 @@
 func (v *Verification) Due(now time.Time, position, members int, jitter float64) time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	due := v.verifiedAt.Add(verifyAge(position, members))
+	due := v.verifiedAt.Add(v.verifyAge(position, members))
 	if !v.failedAt.After(v.verifiedAt) {
 		return due
 	}
@@ -92,7 +97,10 @@
 }
 
 // verifyAge returns the age of the last verification at which a member asks the source.
-func verifyAge(position, members int) time.Duration {
+func (v *Verification) verifyAge(position, members int) time.Duration {
+	if position == 0 && !v.watched {
+		return VerifyInterval
+	}
 	spread := min(time.Duration(max(members-1, 0))*maxVerifyStep, lastVerifyAge-firstVerifyAge)
 	if position >= members {
 		return firstVerifyAge + spread
--- a/baobabrelease/verification_test.go
+++ b/baobabrelease/verification_test.go
@@ -19,6 +19,7 @@
 		want              time.Duration
 	}{
 		{"first", 0, 5, nil, 0, 0, firstVerifyAge},
+		{"first, not watched", 0, 5, nil, 0, 0, VerifyInterval},
 		{"second", 1, 5, nil, 0, 0, firstVerifyAge + maxVerifyStep},
 		{"last of many", 166, 167, nil, 0, 0, lastVerifyAge},
 		{"beyond the members", 10, 10, nil, 0, 0, lastVerifyAge},
@@ -41,7 +42,7 @@
 		}, 3 * time.Second, 0, 3*time.Second + firstVerifyAge},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			v := NewVerification(start)
+			v := NewVerification(start, c.name != "first, not watched")
 			if c.change != nil {
 				c.change(v)
 			}
