quarantine: equal requests that fail at one crash of an upstream count once

Cause: two reports were the same crash only if they named the same call, so the equal requests in flight at one crash reached the threshold of two crashes.

Change: the node beside the upstream gives the calls that fail within 0.5 s of the first one the id of the crash, and sends it along. Reports without one count by their call, as before.

--- a/baobabnode/quarantinecontroller.go
+++ b/baobabnode/quarantinecontroller.go
@@ -86,7 +86,7 @@
 		"fingerprint", report.Fingerprint())
 	c.broadcaster.broadcast(&wire.Broadcast{Update: &wire.Broadcast_Quarantine{Quarantine: &wire.QuarantineUpdate{
 		Reports: []*wire.CrashReport{{
-			Fingerprint: report.Fingerprint().Bytes(), UpstreamId: report.UpstreamID(), CallId: report.CallID(),
+			Fingerprint: report.Fingerprint().Bytes(), UpstreamId: report.UpstreamID(), CallId: report.CallID(), Crash: report.Crash(),
 		}},
 	}}})
 }
@@ -123,7 +123,7 @@
 	update := &wire.QuarantineUpdate{}
 	for _, r := range c.list.Latest(now, reportsPerExchange) {
 		update.Reports = append(update.Reports, &wire.CrashReport{
-			Fingerprint: r.Fingerprint().Bytes(), UpstreamId: r.UpstreamID(), CallId: r.CallID(), AgeMs: r.Age(now).Milliseconds(),
+			Fingerprint: r.Fingerprint().Bytes(), UpstreamId: r.UpstreamID(), CallId: r.CallID(), AgeMs: r.Age(now).Milliseconds(), Crash: r.Crash(),
 		})
 	}
 	return update
@@ -140,7 +140,7 @@
 			continue
 		}
 		at := now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond)
-		reports = append(reports, quarantine.NewReport(f, r.GetUpstreamId(), r.GetCallId(), at))
+		reports = append(reports, quarantine.NewReport(f, r.GetUpstreamId(), r.GetCallId(), at).WithCrash(r.GetCrash()))
 	}
 	for _, r := range c.list.Merge(now, reports) {
 		c.decisions.write(now, "crash report received", "upstream", r.UpstreamID(), "call", r.CallID(),
--- a/baobabquarantine/list.go
+++ b/baobabquarantine/list.go
@@ -1,7 +1,9 @@
 package baobabquarantine
 
 import (
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -11,6 +13,9 @@
 	shardCount = 16
 	// defaultLimit is the number of fingerprints. It bounds memory; a report with short ids takes about 200 bytes.
 	defaultLimit = 4096
+	// crashTime is how long after the first call of a crash others that were in flight may fail. An upstream takes longer
+	// to come back.
+	crashTime = 500 * time.Millisecond
 )
 
 // A List holds crash reports and determines which requests are refused because they crash upstreams. It is safe for
@@ -18,6 +23,16 @@
 type List struct {
 	rule   atomic.Pointer[Rule]
 	shards [shardCount]shard
+
+	mu   sync.Mutex
+	last upstreamCrash // Guarded by mu; the last crash that this node observed.
+}
+
+// An upstreamCrash is a crash of the upstream beside this node.
+type upstreamCrash struct {
+	upstreamID string
+	id         uint64
+	at         time.Time // When the first of its calls failed.
 }
 
 // An Option sets an optional property of a List.
@@ -56,13 +71,23 @@
 
 func (l *List) shard(f Fingerprint) *shard { return &l.shards[f[0]%shardCount] }
 
-// Report records a crash observed by this node. It returns the report to broadcast and whether it was new. The same
-// call on the same upstream counts once.
+// Report records a crash observed by this node. It returns the report to broadcast and whether it was new. Equal requests
+// that fail on one upstream within crashTime were in flight at the same crash and count once.
 func (l *List) Report(now time.Time, f Fingerprint, upstreamID, callID string) (Report, bool) {
-	r := NewReport(f, upstreamID, callID, now)
+	r := NewReport(f, upstreamID, callID, now).WithCrash(l.crashID(now, upstreamID))
 	return r, l.shard(f).add(now, *l.rule.Load(), r)
 }
 
+// crashID returns the id of the crash to which a call belongs that fails now.
+func (l *List) crashID(now time.Time, upstreamID string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if age := now.Sub(l.last.at); l.last.id == 0 || l.last.upstreamID != upstreamID || age < 0 || age >= crashTime {
+		l.last = upstreamCrash{upstreamID: upstreamID, id: rand.Uint64() | 1, at: now}
+	}
+	return l.last.id
+}
+
 // Merge adds reports of other nodes and returns those that were new. A crash time in the future, which results from a
 // negative age, is replaced by the current time.
 func (l *List) Merge(now time.Time, reports []Report) []Report {
--- a/baobabquarantine/list_test.go
+++ b/baobabquarantine/list_test.go
@@ -208,6 +208,46 @@
 	}
 }
 
+// TestEqualRequestsAtOneCrash guards against a popular request that is refused everywhere because one upstream crashed while
+// it ran the request several times: that is one crash, whoever reports it.
+func TestEqualRequestsAtOneCrash(t *testing.T) {
+	f := testFingerprint(1)
+	at := func(ms int) time.Time { return testEpoch.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		name    string
+		times   []int // In ms; call i fails at times[i].
+		refused bool
+	}{
+		{"at the same time", []int{0, 0, 0, 0}, false},
+		{"within the time of a crash", []int{0, 100, 300, 499}, false},
+		{"another crash of the upstream", []int{0, 100, 500, 600}, true},
+		{"the clock goes back", []int{1000, 0}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			observer, other := NewList(), NewList()
+			for i, ms := range c.times {
+				if r, added := observer.Report(at(ms), f, "u", fmt.Sprint(i)); added {
+					other.Merge(at(ms+200), []Report{r})
+				}
+			}
+			for name, l := range map[string]*List{"observer": observer, "other": other} {
+				if _, refused := l.Refused(at(1500), f); refused != c.refused {
+					t.Errorf("%s: refused = %t, want %t", name, refused, c.refused)
+				}
+			}
+			if a, b := observer.Digest(at(1500)), other.Digest(at(1500)); a != b {
+				t.Errorf("digests = %d and %d, want equal ones", a, b)
+			}
+		})
+	}
+	observer := NewList()
+	observer.Report(at(0), f, "u", "1")
+	observer.Report(at(10), f, "v", "2")
+	if _, refused := observer.Refused(at(20), f); !refused {
+		t.Error("two upstreams crashed and the request is not refused")
+	}
+}
+
 // TestDigest guards against digests that differ between lists with the same crashes, and against equal digests when one
 // list lacks a crash.
 func TestDigest(t *testing.T) {
--- a/baobabquarantine/shard.go
+++ b/baobabquarantine/shard.go
@@ -28,7 +28,8 @@
 		return false
 	}
 	known := dropExpired(now, rule, s.crashes[r.fingerprint])
-	if slices.ContainsFunc(known, r.sameCrash) {
+	if i := slices.IndexFunc(known, r.sameCrash); i >= 0 {
+		known[i].mergeCrash(r)
 		return false
 	}
 	if len(known) == 0 && !s.ensureSpace(now, rule) {
