--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -107,7 +107,9 @@
 	go func() { done <- c.run(ctx) }()
 	defer func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Errorf("run: %v", err)
+		}
 	}()
 	for board.ActiveVersion().Number() < 6 {
 		if ctx.Err() != nil {
--- a/baobabnode/headverifier.go
+++ b/baobabnode/headverifier.go
@@ -22,7 +22,7 @@
 	if !c.awaitJoined(ctx) {
 		return
 	}
-	c.verification.Verify(c.now())
+	c.verification.Verify(c.now()) // Nodes that start together leave the first request to the first member.
 	for jitter := rand.Float64(); ctx.Err() == nil; {
 		order := c.members.rendezvousOrder(headRole, c.members.selfRecord().FailureDomain())
 		now := c.now()
