node: a stopping node takes repeatable calls that keep nearly all of their time

Now a call that may be repeated is taken if the end of the stop leaves it nine tenths of its time, whenever it comes; the target of its rank plays no part. Calls that may not be repeated stay as they were.

--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -152,7 +152,7 @@
 	if root, ok := g.dependencies.root(now, c); ok {
 		request.inherit(root, policy)
 	}
-	if d := g.admitter.stopping(); d != nil && !d.takes(now, request.deadline, idempotent, rank.LatencyTarget()) {
+	if d := g.admitter.stopping(); d != nil && !d.takes(now, request.deadline, idempotent) {
 		return nil, call.NewRefusal(call.ReasonDraining, call.OutcomeNotRun, "the node stops before the deadline")
 	}
 	return &routedCall{
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -360,10 +360,7 @@
 func (n *Node) stop() {
 	n.stopping.Store(true)
 	n.logger.Info("stopping", "grace_period", n.overrides.gracePeriod, "drain_timeout", n.overrides.drainTimeout)
-	now := n.now()
-	n.admitter.stop(shutdown{
-		graceEnd: now.Add(n.overrides.gracePeriod), end: now.Add(n.overrides.drainTimeout - lingerTime),
-	})
+	n.admitter.stop(shutdown{end: n.now().Add(n.overrides.drainTimeout - lingerTime)})
 	ctx, cancel := context.WithTimeout(context.Background(), max(n.overrides.drainTimeout-lingerTime, 0))
 	defer cancel()
 	shutdown := make(chan error, 1)
