platform: after a request without a response idle connections are not reused

A request without a response cost its timeout, and the next one took another kept connection and cost it again, up to the 3 s in which keep-alive probes notice a dead connection; a node must be up to date by then.

TestSilentConnections: without the change the request after the first one times out as well ('the next request: ... context deadline exceeded' after 10 s).

--- a/baobabplatform/requester.go
+++ b/baobabplatform/requester.go
@@ -122,6 +122,7 @@
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
+		r.distrustIdleConnections(err)
 		return Response{}, NewError(operation, KindUnavailable, err)
 	}
 	defer response.Body.Close()
@@ -147,6 +148,7 @@
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
+		r.distrustIdleConnections(err)
 		// The platform applies a write only after it has read the whole body.
 		if body.withdraw() {
 			return Response{}, NewError(operation, KindUnavailable, err)
@@ -157,6 +159,14 @@
 	return r.readResponse(operation, response, KindUnknownOutcome)
 }
 
+// distrustIdleConnections closes the idle connections after a request without a response. They may have gone silent with the
+// connection of that request, and each would cost a further request its timeout.
+func (r *Requester) distrustIdleConnections(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		r.transport.CloseIdleConnections()
+	}
+}
+
 // readResponse returns a successful response, or an error whose kind follows from the status code. The kind is fallback
 // for a truncated successful response and for a status code that says nothing about the effect.
 func (r *Requester) readResponse(operation string, response *http.Response, fallback Kind) (Response, error) {
