--- a/baobabplatform/requester_test.go
+++ b/baobabplatform/requester_test.go
@@ -18,7 +18,7 @@
 	silent := map[string]bool{} // Remote addresses of the connections without responses; guarded by mu.
 	var first sync.WaitGroup    // Keeps the first requests in flight together, so that each has a connection.
 	first.Add(connections)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.URL.Path == "/first" {
 			mu.Lock()
