node: time from the sighting of a version to in force, and calls that end after their deadline

Nothing told a version that a node learned of late from one that was slow to load, nor how many callers wait beyond the timeout of their route.

--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -71,6 +71,7 @@
 	joined           chan struct{}                            // Closed when the bootstrapper has joined the mesh.
 	verification     *release.Verification
 	headChecks       headCheckCounters
+	sightings        *versionSightings
 
 	mu      sync.Mutex                // Serializes installs.
 	history []*configuration.Snapshot // Guarded by mu; oldest first, the last one is in force.
@@ -121,7 +122,7 @@
 
 // observeVersion records a version that another member has, and queues a fetch if it is newer than the one in force.
 func (c *configurationController) observeVersion(v *wire.Version, address string, crossDomain bool) {
-	c.board.RaiseHighestNumber(v.GetNumber())
+	c.sight(v.GetNumber())
 	if v.GetNumber() <= c.board.ActiveVersion().Number() || c.isRejectedWire(v) {
 		return
 	}
@@ -131,9 +132,17 @@
 	}
 }
 
+// sight records that a version exists.
+func (c *configurationController) sight(number uint64) {
+	c.board.RaiseHighestNumber(number)
+	if number > c.board.ActiveVersion().Number() {
+		c.sightings.record(c.now(), number)
+	}
+}
+
 // receiveUpdate applies a version that was broadcast, or queues a fetch if its delta does not apply.
 func (c *configurationController) receiveUpdate(m *wire.ConfigurationUpdate, address string) {
-	c.board.RaiseHighestNumber(m.GetVersion().GetNumber())
+	c.sight(m.GetVersion().GetNumber())
 	if m.GetVersion().GetNumber() <= c.board.ActiveVersion().Number() {
 		return
 	}
@@ -145,7 +154,7 @@
 
 // installAccepted puts a version that an operator has accepted through this node in force, and broadcasts it.
 func (c *configurationController) installAccepted(s *configuration.Snapshot) error {
-	c.board.RaiseHighestNumber(s.Version().Number())
+	c.sight(s.Version().Number())
 	if err := c.install(s, viaOperator); err != nil {
 		return err
 	}
@@ -241,7 +250,7 @@
 
 func (c *configurationController) loadIfNewer(ctx context.Context, head release.Head, broadcast bool) error {
 	number := head.Version().Number()
-	c.board.RaiseHighestNumber(number)
+	c.sight(number)
 	if number <= c.board.ActiveVersion().Number() || c.isRejected(head.Version()) {
 		return nil
 	}
@@ -385,6 +394,7 @@
 // install validates a version and puts it in force. An invalid version is rejected as a whole, and the version in force
 // is kept. A version that is not newer is ignored.
 func (c *configurationController) install(s *configuration.Snapshot, via installPath) error {
+	loaded := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Version().Number() <= c.board.ActiveVersion().Number() {
@@ -403,7 +413,9 @@
 	}
 	c.board.SetRejected(nil)
 	c.history = append(c.history[max(0, len(c.history)-historyLength+1):len(c.history):len(c.history)], s)
-	c.logger.Info("configuration in force", "number", s.Version().Number(), "digest", s.Version().Digest(), "via", string(via))
+	fetched := c.sightings.inForce(now, loaded, s.Version().Number(), via)
+	c.logger.Info("configuration in force", "number", s.Version().Number(), "digest", s.Version().Digest(), "via", string(via),
+		"fetched", fetched, "applied", now.Sub(loaded))
 	return nil
 }
 
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -55,6 +55,7 @@
 		members: members, joined: make(chan struct{}), fetchRequests: make(chan fetchRequest, fetchQueueSize),
 		broadcaster:  &broadcaster{members: members, tomb: stoppedTomb(), now: time.Now, logger: log.New(io.Discard)},
 		verification: release.NewVerification(time.Now(), true), headChecks: newHeadCheckCounters(metrics.NewSet()),
+		sightings: newVersionSightings(metrics.NewSet()),
 	}
 }
 
--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -45,6 +45,7 @@
 	ready          readiness
 	retryCounters  *retryCounters
 	crossings      *crossingCounters
+	lateEndings    *lateEndings
 	defaultTimeout time.Duration
 	maxTimeout     time.Duration
 	now            func() time.Time
@@ -91,6 +92,7 @@
 	}
 	g.accounts.countAdmission(account, true)
 	answer, refusal := g.serve(ctx, r)
+	g.lateEndings.count(g.now(), r.request.deadline)
 	if refusal != nil && refusal.Outcome() == call.OutcomeNotRun {
 		g.limits.refund(g.now(), account)
 	}
--- a/baobabnode/membershipcontroller_test.go
+++ b/baobabnode/membershipcontroller_test.go
@@ -34,7 +34,7 @@
 	c := &membershipController{
 		board: board, members: m, transport: transport, now: time.Now, logger: logger, peerFound: make(chan struct{}),
 		broadcaster:   &broadcaster{members: m, transport: transport, tomb: running, now: time.Now, logger: logger},
-		configuration: &configurationController{board: board, members: m, logger: logger, fetchRequests: make(chan fetchRequest, fetchQueueSize)},
+		configuration: newTestConfigurationController(board, &advancingSource{}),
 	}
 	c.quarantine = newQuarantineController(board, c.broadcaster, time.Now, logger, newDecisionLog(logger, metrics.NewSet()))
 	done := make(chan struct{})
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -211,6 +211,7 @@
 		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
 		headPollInterval: s.Platform().PollInterval(), fetchRequests: make(chan fetchRequest, fetchQueueSize), joined: make(chan struct{}),
 		verification: release.NewVerification(n.now(), watched), headChecks: newHeadCheckCounters(n.metrics),
+		sightings: newVersionSightings(n.metrics),
 	}
 	n.accounts.configuration, n.configuration.confirmed = n.configuration, n.accounts.recordConfirmed
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
@@ -262,7 +263,7 @@
 			transport: n.transport, bodies: newBodySender(transfers, n.now), now: n.now, grace: answerGraceFor(s.Admission()),
 		},
 		members: n.members, self: n.members.self, ready: n.bootstrapper,
-		retryCounters: counters, defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
+		retryCounters: counters, lateEndings: newLateEndings(n.metrics), defaultTimeout: s.Call().DefaultTimeout(), maxTimeout: s.Call().MaxTimeout(), now: n.now, logger: n.logger,
 		decisions: n.decisionLog, accounts: n.accounts, limits: n.limits, dependencies: n.dependencies, rollouts: n.rollouts,
 	}
 	handler := caller.NewHandler(ingress, append([]caller.Option{
