platform, node: a response that has begun is not given up as lost

Cause: the content of a version is in the response to whoever watches or verifies the head: 420 kB, 560 kB encoded, which takes 0.45 s at 10 Mbit/s without other traffic. A watch request was given up 0.75 s after its wait and a verification after 0.5 s, whether the response was missing or on its way.

Callers that give up early (verification, proofs of keys, start) state how long they wait for the beginning.

--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -25,7 +25,7 @@
 const (
 	// proofRole is the rendezvous-hash key that orders the members of a failure domain for proofs.
 	proofRole = "proof"
-	// proofTimeout bounds a request for a proof. A late answer is still useful, because several requests run at a time.
+	// proofTimeout bounds the wait for a proof. A late answer is still useful, because several requests run at a time.
 	proofTimeout = 1500 * time.Millisecond
 	// startQuiet is how long a starting node may lack proof before that is logged.
 	startQuiet = 2 * time.Second
@@ -174,11 +174,7 @@
 			continue // An earlier request was answered meanwhile.
 		}
 		a.freshness.Asked(a.bootTime())
-		requests.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, proofTimeout)
-			defer cancel()
-			a.ask(ctx, target, order)
-		})
+		requests.Go(func() { a.ask(ctx, target, order) })
 	}
 	return nil
 }
@@ -214,9 +210,15 @@
 
 // ask requests a proof.
 func (a *accountController) ask(ctx context.Context, t account.Target, order []membership.Member) {
-	switch t {
-	case account.TargetSource:
+	if t == account.TargetSource {
+		ctx, cancel := sourceContext(ctx, proofTimeout)
+		defer cancel()
 		a.confirm(ctx)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	switch t {
 	case account.TargetFirst, account.TargetSecond, account.TargetThird:
 		if i := int(t - account.TargetFirst); i < len(order) {
 			a.askMember(ctx, order[i], false)
--- a/baobabnode/bootstrapper.go
+++ b/baobabnode/bootstrapper.go
@@ -202,10 +202,10 @@
 	}.notReadyReason()
 }
 
-// loadHead puts the version of the head in force, and confirms it if the source is authoritative. It returns after
-// platformWait at the latest.
+// loadHead puts the version of the head in force, and confirms it if the source is authoritative. It waits for a response of
+// the source until platformWait at the latest.
 func (b *bootstrapper) loadHead(ctx context.Context) (release.Head, error) {
-	ctx, cancel := context.WithTimeout(ctx, b.platformWait)
+	ctx, cancel := sourceContext(ctx, b.platformWait)
 	defer cancel()
 	head, err := b.configuration.loadHead(ctx, false)
 	if err == nil && b.authoritative {
--- a/baobabnode/headverifier.go
+++ b/baobabnode/headverifier.go
@@ -5,13 +5,16 @@
 	"math/rand/v2"
 	"time"
 
+	platform "github.com/baobabdale/baobabdale/baobabplatform"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
 const (
-	// verifyTimeout bounds a request to the source by which a node verifies the head.
+	// verifyTimeout bounds the wait for a response of the source by which a node verifies the head.
 	verifyTimeout = 500 * time.Millisecond
+	// contentTimeout bounds a request to the source whose response holds the content of a version.
+	contentTimeout = 5 * time.Second
 	// verifyRecheck bounds a pause of the verifying loop, in which the members may change.
 	verifyRecheck = 500 * time.Millisecond
 )
@@ -40,7 +43,7 @@
 func (c *configurationController) askSource(ctx context.Context, now time.Time) {
 	age := c.verification.Age(now)
 	before := c.board.ActiveVersion()
-	attempt, cancel := context.WithTimeout(ctx, verifyTimeout)
+	attempt, cancel := sourceContext(ctx, verifyTimeout)
 	err := c.confirmHead(attempt, release.Head{})
 	cancel()
 	if ctx.Err() != nil {
@@ -61,6 +64,12 @@
 	c.announceHead()
 }
 
+// sourceContext returns the context of requests to the source that give up without a response after a time, but let a large
+// response that has begun arrive.
+func sourceContext(ctx context.Context, response time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(platform.WithResponseTimeout(ctx, response), max(response, contentTimeout))
+}
+
 // announceHead tells the failure domain until when the version in force is known to be the newest one.
 func (c *configurationController) announceHead() {
 	version := c.board.ActiveVersion()
--- a/baobabplatform/requester.go
+++ b/baobabplatform/requester.go
@@ -50,7 +50,8 @@
 // RequesterOption sets an optional property of a Requester.
 type RequesterOption func(*Requester)
 
-// WithTimeout limits the duration of each request, from connecting to the end of the response. The default is 2 s.
+// WithTimeout limits how long each request waits for the beginning of the response, and then for each further part of it.
+// The default is 2 s.
 func WithTimeout(d time.Duration) RequesterOption { return func(r *Requester) { r.timeout = d } }
 
 // WithMaxResponseBytes limits the size of each successful response. The default is 32 MiB.
@@ -112,20 +113,21 @@
 	return r.ReadWithTimeout(ctx, r.timeout, operation, path)
 }
 
-// ReadWithTimeout is Read with a timeout of its own, for a request that waits for changes.
+// ReadWithTimeout is Read with a timeout of its own for the beginning of the response, for a request that waits for changes.
 func (r *Requester) ReadWithTimeout(ctx context.Context, timeout time.Duration, operation, path string) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, limit := limitResponse(ctx, timeout, r.timeout)
+	defer limit.stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.baseURL+path, http.NoBody)
 	if err != nil {
 		return Response{}, NewError(operation, KindInvalid, err)
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		r.distrustIdleConnections(err)
+		r.distrustIdleConnections(ctx)
 		return Response{}, NewError(operation, KindUnavailable, err)
 	}
 	defer response.Body.Close()
+	response.Body = limit.body(response.Body)
 	return r.readResponse(operation, response, KindUnavailable)
 }
 
@@ -134,8 +136,8 @@
 func (r *Requester) Write(
 	ctx context.Context, operation, method, path, contentType string, data []byte, options ...func(*http.Request),
 ) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
-	defer cancel()
+	ctx, limit := limitResponse(ctx, r.timeout, r.timeout)
+	defer limit.stop()
 	body := newSingleUseBody(data)
 	request, err := http.NewRequestWithContext(ctx, method, r.baseURL+path, body)
 	if err != nil {
@@ -148,7 +150,7 @@
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		r.distrustIdleConnections(err)
+		r.distrustIdleConnections(ctx)
 		// The platform applies a write only after it has read the whole body.
 		if body.withdraw() {
 			return Response{}, NewError(operation, KindUnavailable, err)
@@ -156,13 +158,14 @@
 		return Response{}, NewError(operation, KindUnknownOutcome, err)
 	}
 	defer response.Body.Close()
+	response.Body = limit.body(response.Body)
 	return r.readResponse(operation, response, KindUnknownOutcome)
 }
 
 // distrustIdleConnections closes the idle connections after a request without a response. They may have gone silent with the
 // connection of that request, and each would cost a further request its timeout.
-func (r *Requester) distrustIdleConnections(err error) {
-	if errors.Is(err, context.DeadlineExceeded) {
+func (r *Requester) distrustIdleConnections(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		r.transport.CloseIdleConnections()
 	}
 }
