node: a version that comes on several paths is processed once

Callers saw: after a version of 2,200 routes nodes of the remittance deployment kept the one before for up to 5 s.

Cause: two members broadcast each version, and since the landing before each announcement of the head made all other members fetch it besides, from the announcing one. A node decoded the same delta up to five times. A broadcast was acknowledged only once the version was in force, which took longer than the sender waits (500 ms), so it was sent again, to others.

Change: broadcast versions are queued and acknowledged at once; contents from other members are decoded one after the other and only if they are still needed; a version whose content is here is not fetched, and one that was only announced is left 200 ms to come as a broadcast.

--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -32,6 +32,10 @@
 	fetchTimeout = 2 * time.Second
 	// fetchHedgeDelay is the delay after which the next source is queried in parallel.
 	fetchHedgeDelay = 150 * time.Millisecond
+	// updateWait is how long a version that another member has told of is left to arrive as a broadcast before it is fetched.
+	updateWait = 200 * time.Millisecond
+	// updateQueueSize bounds the queue of broadcast versions to apply. A version beyond it is fetched.
+	updateQueueSize = 16
 	// fetchQueueSize bounds the queue of versions to fetch. A dropped version is observed again in a later exchange.
 	fetchQueueSize = 64
 )
@@ -43,6 +47,12 @@
 	crossDomain bool   // Learned from another failure domain, so this node broadcasts it in its own.
 }
 
+// A receivedUpdate is a version that was broadcast.
+type receivedUpdate struct {
+	message *wire.ConfigurationUpdate
+	address string // Of the member that broadcast it; empty if unknown.
+}
+
 // installPath says how a node learned of a version.
 type installPath string
 
@@ -67,12 +77,16 @@
 	logger           *log.Logger
 	headPollInterval time.Duration // Interval between reads of the head.
 	fetchRequests    chan fetchRequest
+	updates          chan receivedUpdate
+	arrived          arrivals                                 // Contents of broadcast versions in updates or in work.
 	confirmed        func(sent time.Duration, h release.Head) // Called after each confirmation; may be nil.
 	joined           chan struct{}                            // Closed when the bootstrapper has joined the mesh.
 	verification     *release.Verification
 	headChecks       headCheckCounters
 	sightings        *versionSightings
+	contents         contentCounters
 
+	intake  sync.Mutex                // Held while a content from another member is decoded and installed.
 	mu      sync.Mutex                // Serializes installs.
 	history []*configuration.Snapshot // Guarded by mu; oldest first, the last one is in force.
 }
@@ -82,6 +96,7 @@
 func (c *configurationController) run(ctx context.Context) error {
 	var loops sync.WaitGroup
 	loops.Go(func() { c.processFetchRequests(ctx) })
+	loops.Go(func() { c.processUpdates(ctx) })
 	loops.Go(func() { c.watchUpstream(ctx) })
 	loops.Go(func() { c.verifyHead(ctx) })
 	if w, ok := c.source.(Watcher); ok {
@@ -123,7 +138,7 @@
 // observeVersion records a version that another member has, and queues a fetch if it is newer than the one in force.
 func (c *configurationController) observeVersion(v *wire.Version, address string, crossDomain bool) {
 	c.sight(v.GetNumber())
-	if v.GetNumber() <= c.board.ActiveVersion().Number() || c.isRejectedWire(v) {
+	if v.GetNumber() <= c.board.ActiveVersion().Number() || c.isRejectedWire(v) || c.arrived.cover(v.GetNumber()) {
 		return
 	}
 	select {
@@ -140,18 +155,58 @@
 	}
 }
 
-// receiveUpdate applies a version that was broadcast, or queues a fetch if its delta does not apply.
+// receiveUpdate queues a version that was broadcast. It does not wait until the version is applied: the sender takes a
+// node that does not acknowledge within broadcastTimeout as unreachable, and sends the update elsewhere.
 func (c *configurationController) receiveUpdate(m *wire.ConfigurationUpdate, address string) {
-	c.sight(m.GetVersion().GetNumber())
-	if m.GetVersion().GetNumber() <= c.board.ActiveVersion().Number() {
+	number := m.GetVersion().GetNumber()
+	c.sight(number)
+	if number <= c.board.ActiveVersion().Number() {
 		return
 	}
-	if _, err := c.applyDelta(m.GetDelta(), viaBroadcast); err != nil {
-		c.logger.Debug("delta not applicable", "number", m.GetVersion().GetNumber(), "err", err)
+	c.arrived.add(number)
+	select {
+	case c.updates <- receivedUpdate{message: m, address: address}:
+	default:
+		c.arrived.remove(number)
 		c.observeVersion(m.GetVersion(), address, false)
 	}
 }
 
+func (c *configurationController) processUpdates(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-c.updates:
+			c.applyUpdate(u)
+		}
+	}
+}
+
+// applyUpdate applies a version that was broadcast, or queues a fetch if its delta does not apply.
+func (c *configurationController) applyUpdate(u receivedUpdate) {
+	v := u.message.GetVersion()
+	err := c.takeIn(v.GetNumber(), func() error { return c.applyDelta(u.message.GetDelta(), viaBroadcast) })
+	c.arrived.remove(v.GetNumber())
+	if err != nil {
+		c.logger.Debug("delta not applicable", "number", v.GetNumber(), "err", err)
+		c.observeVersion(v, u.address, false)
+	}
+}
+
+// takeIn decodes and installs the content of a version, unless a version with its number or a higher one is in force by
+// then. Contents are taken in one after the other, so that one that arrives on several paths is processed once.
+func (c *configurationController) takeIn(number uint64, process func() error) error {
+	c.intake.Lock()
+	defer c.intake.Unlock()
+	if number <= c.board.ActiveVersion().Number() {
+		c.contents.superseded.Inc()
+		return nil
+	}
+	c.contents.processed.Inc()
+	return process()
+}
+
 // installAccepted puts a version that an operator has accepted through this node in force, and broadcasts it.
 func (c *configurationController) installAccepted(s *configuration.Snapshot) error {
 	c.sight(s.Version().Number())
@@ -273,7 +328,7 @@
 // fetch gets a version from the first source that returns it. It queries the next source when one fails or has not
 // answered within fetchHedgeDelay, because the member that announced the version may no longer exist.
 func (c *configurationController) fetch(ctx context.Context, r fetchRequest) {
-	if r.number <= c.board.ActiveVersion().Number() {
+	if c.arrives(ctx, r.number) {
 		return
 	}
 	var requests sync.WaitGroup
@@ -312,6 +367,24 @@
 	}
 }
 
+// arrives waits up to updateWait for the content of a version, which is broadcast as a rule. It reports whether the version
+// or a higher one is in force, or its content is there.
+func (c *configurationController) arrives(ctx context.Context, number uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, updateWait)
+	defer cancel()
+	for {
+		changed := c.board.ActiveConfigurationChanged()
+		if number <= c.board.ActiveVersion().Number() || c.arrived.cover(number) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return number <= c.board.ActiveVersion().Number() || c.arrived.cover(number)
+		}
+	}
+}
+
 // sources returns the functions that fetch a version, in order of preference: from the member that has it, a random
 // member of this failure domain, one of another failure domain, and the platform.
 func (c *configurationController) sources(r fetchRequest) []func(context.Context) error {
@@ -354,8 +427,13 @@
 	if m.GetVersion().GetNumber() < number {
 		return errors.Errorf("fetch version: member has only %d", m.GetVersion().GetNumber())
 	}
+	return c.takeIn(m.GetVersion().GetNumber(), func() error { return c.processReply(m) })
+}
+
+// processReply decodes and installs the version in a reply, from its delta if that applies.
+func (c *configurationController) processReply(m *wire.ConfigurationReply) error {
 	if len(m.GetDelta()) > 0 {
-		if _, err := c.applyDelta(m.GetDelta(), viaMember); err == nil {
+		if err := c.applyDelta(m.GetDelta(), viaMember); err == nil {
 			return nil
 		}
 	}
@@ -375,10 +453,10 @@
 
 // applyDelta applies a delta to the version in force and installs the result. It returns an error if the delta has
 // another base.
-func (c *configurationController) applyDelta(data []byte, via installPath) (*configuration.Snapshot, error) {
+func (c *configurationController) applyDelta(data []byte, via installPath) error {
 	delta, err := configuration.DecodeDelta(data)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	base := configuration.NewSnapshot(0, configuration.EmptyDocument())
 	if active := c.board.ActiveConfiguration(); active != nil {
@@ -386,9 +464,9 @@
 	}
 	s, err := delta.Apply(base)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return s, c.install(s, via)
+	return c.install(s, via)
 }
 
 // install validates a version and puts it in force. An invalid version is rejected as a whole, and the version in force
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -211,7 +211,8 @@
 		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
 		headPollInterval: s.Platform().PollInterval(), fetchRequests: make(chan fetchRequest, fetchQueueSize), joined: make(chan struct{}),
 		verification: release.NewVerification(n.now(), watched), headChecks: newHeadCheckCounters(n.metrics),
-		sightings: newVersionSightings(n.metrics),
+		sightings: newVersionSightings(n.metrics), updates: make(chan receivedUpdate, updateQueueSize),
+		contents: newContentCounters(n.metrics),
 	}
 	n.accounts.configuration, n.configuration.confirmed = n.configuration, n.accounts.recordConfirmed
 	n.seeds = &seedRegistry{store: n.store, members: n.members, static: seedAddresses(s), logger: n.logger}
