node: members with faster links follow the head first

Callers saw: after a large version the nodes of two of three failure domains got it 0.7 s later than those of the third.

Cause: the members that read the head were chosen by hash alone. The content, 560 kB encoded, took 1.1 s to reach a VM with 10 Mbit/s and 0.16 of a core under load, and 0.2 s to process there.

Change: records of members name the speed of the VM's link, and the duty falls to those with the fastest ones, members with equally fast links in hash order as before. Proofs of keys follow the same order, so that one member does both. Deployments whose VMs are alike do not change.

TestDutyOrder.

--- a/baobabmembership/member.go
+++ b/baobabmembership/member.go
@@ -29,6 +29,7 @@
 	state         State
 	endpoint      *Endpoint         // Nil without an upstream; never modified in place.
 	labels        map[string]string // Never modified in place.
+	linkBytes     uint64            // Speed of the VM's link in bytes per second; 0: unknown.
 }
 
 // NewMember returns the record of an alive node. The incarnation must be higher than that of any earlier process with
@@ -40,6 +41,12 @@
 	}
 }
 
+// WithLinkSpeed returns the record with the speed of the VM's link in bytes per second; 0 means that it is not known.
+func (m Member) WithLinkSpeed(bytesPerSecond uint64) Member {
+	m.linkBytes = bytesPerSecond
+	return m
+}
+
 // InitialIncarnation returns the Unix time in milliseconds as the incarnation of a process that starts now. Each change
 // raises it by 1, so it stays below that of the next process unless there is more than one change per millisecond or
 // the clock was set back. In that case the member raises its incarnation when it receives the earlier record.
@@ -50,7 +57,7 @@
 	m := Member{
 		id: w.GetId(), peerAddress: w.GetPeerAddress(), entryAddress: w.GetEntryAddress(),
 		failureDomain: intern(w.GetFailureDomain()), region: intern(w.GetRegion()),
-		incarnation: w.GetIncarnation(), state: State(intern(w.GetState())),
+		incarnation: w.GetIncarnation(), state: State(intern(w.GetState())), linkBytes: w.GetLinkBytes(),
 	}
 	if m.id == "" || m.failureDomain == "" {
 		return Member{}, &Error{"decode member", KindInvalid, fmt.Sprintf(
@@ -113,7 +120,7 @@
 func (m Member) Wire(now time.Time) *wire.Member {
 	w := &wire.Member{
 		Id: m.id, PeerAddress: m.peerAddress, EntryAddress: m.entryAddress, FailureDomain: m.failureDomain,
-		Region: m.region, Incarnation: m.incarnation, State: string(m.state), Labels: m.labels,
+		Region: m.region, Incarnation: m.incarnation, State: string(m.state), Labels: m.labels, LinkBytes: m.linkBytes,
 	}
 	if e := m.endpoint; e != nil {
 		w.Endpoint = &wire.Endpoint{
@@ -156,6 +163,9 @@
 	return *m.endpoint, true
 }
 
+// LinkSpeed returns the speed of the VM's link in bytes per second, or 0 if it is not known.
+func (m Member) LinkSpeed() uint64 { return m.linkBytes }
+
 // Labels returns the labels, which must not be modified.
 func (m Member) Labels() map[string]string { return m.labels }
 
@@ -189,6 +199,9 @@
 			b = strconv.AppendBool(b, e.leaving)
 		}
 	}
+	if m.linkBytes > 0 {
+		b = binary.AppendUvarint(b, m.linkBytes)
+	}
 	if len(m.labels) > 0 {
 		for _, k := range slices.Sorted(maps.Keys(m.labels)) {
 			b = appendString(b, k)
--- a/baobabmembership/table.go
+++ b/baobabmembership/table.go
@@ -315,6 +315,14 @@
 	return out
 }
 
+// DutyOrder returns the live members of a failure domain in the order in which they take on a duty whose messages are large:
+// those with faster links first, members with equally fast ones in rendezvous order for the duty.
+func (t *Table) DutyOrder(duty, failureDomain string) []Member {
+	list := t.RendezvousOrder(duty, failureDomain)
+	slices.SortStableFunc(list, func(a, b Member) int { return cmp.Compare(b.linkBytes, a.linkBytes) })
+	return list
+}
+
 // RendezvousOrder returns the live members of a failure domain, or of all domains when it is empty, in descending order
 // of their rendezvous hash for the key. Nodes with equal tables agree on the order, and a change of one member does not
 // reorder the others.
--- a/baobabmembership/table_test.go
+++ b/baobabmembership/table_test.go
@@ -139,6 +139,45 @@
 	}
 }
 
+// TestDutyOrder guards against a duty with large messages that falls to a member with a slow link, and against members that
+// disagree on the order.
+func TestDutyOrder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		speeds map[string]uint64 // By member; others have none.
+		first  []string
+	}{
+		{"one fast link", map[string]uint64{"m2": 25e6}, []string{"m2"}},
+		{"fastest first", map[string]uint64{"m1": 1e6, "m3": 25e6, "m4": 1e6, "m0": 2e6}, []string{"m3", "m0"}},
+	} {
+		a, b := NewTable(testMember("m0", "d", 1).WithLinkSpeed(c.speeds["m0"])), NewTable(testMember("m5", "d", 1))
+		var records []Member
+		for i := range 6 {
+			id := fmt.Sprintf("m%d", i)
+			records = append(records, testMember(id, "d", 1).WithLinkSpeed(c.speeds[id]))
+		}
+		received, invalid := MembersFromWire(epoch, MembersToWire(epoch, records))
+		a.Merge(epoch, received)
+		b.Merge(epoch, received)
+		order := ids(a.DutyOrder("p", "d"))
+		if invalid > 0 || !slices.Equal(order[:len(c.first)], c.first) {
+			t.Errorf("%s: order %v, want %v first", c.name, order, c.first)
+		}
+		if other := ids(b.DutyOrder("p", "d")); !slices.Equal(other, order) {
+			t.Errorf("%s: order %v at one member, %v at another", c.name, order, other)
+		}
+		var equal []string
+		for _, id := range ids(a.RendezvousOrder("p", "d")) {
+			if c.speeds[id] == 0 {
+				equal = append(equal, id)
+			}
+		}
+		if rest := order[len(order)-len(equal):]; !slices.Equal(rest, equal) {
+			t.Errorf("%s: equally fast members in the order %v, want %v", c.name, rest, equal)
+		}
+	}
+}
+
 // TestDigest guards against digests that depend on the order of changes or miss one.
 func TestDigest(t *testing.T) {
 	a, b := fleetTable(100, 4), NewTable(fleetMember(0, 4))
--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// proofRole is the rendezvous-hash key that orders the members of a failure domain for proofs.
-	proofRole = "proof"
 	// proofTimeout bounds the wait for a proof. A late answer is still useful, because several requests run at a time.
 	proofTimeout = 1500 * time.Millisecond
 	// startQuiet is how long a starting node may lack proof before that is logged.
@@ -164,7 +162,7 @@
 			continue
 		}
 		a.logValidity(a.bootTime() - started)
-		order := a.members.rendezvousOrder(proofRole, a.members.selfRecord().FailureDomain())
+		order := a.members.headOrder(a.members.selfRecord().FailureDomain())
 		before, _ := a.freshness.Newest()
 		target, due := a.freshness.Next(a.bootTime(), positionIn(order, a.members.self), rand.Float64())
 		if !sleep(ctx, due-a.bootTime()) {
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -24,8 +24,8 @@
 	// headReaders is the number of members per failure domain that read the head from the platform. Concurrent readers
 	// cannot conflict, because a version is identified by a number and a digest.
 	headReaders = 2
-	// headRole is the rendezvous-hash key that elects the members that read the head.
-	headRole = "head"
+	// headDuty is the duty of the members that read the head.
+	headDuty = "head"
 	// historyLength is how many recent versions a node keeps to answer fetches with deltas.
 	historyLength = 8
 	// fetchTimeout bounds a fetch of a version from all sources together.
@@ -272,7 +272,7 @@
 
 // pollHead reads the head from the platform if this node is a head reader of its failure domain.
 func (c *configurationController) pollHead(ctx context.Context) {
-	if !c.members.hasRole(headRole, headReaders) {
+	if c.members.headPosition() >= headReaders {
 		return
 	}
 	if _, err := c.loadHead(ctx, true); err != nil {
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -101,7 +101,7 @@
 	source := &advancingSource{}
 	source.number.Store(6)
 	c := newTestConfigurationController(board, source, "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9")
-	if c.members.hasRole(headRole, headWatchers) {
+	if c.members.headPosition() < headWatchers {
 		t.Fatal("the node watches the head itself")
 	}
 	close(c.joined)
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -38,7 +38,7 @@
 	}
 	watching, delay := false, time.Duration(0)
 	for pause := watchBackoffMin; ctx.Err() == nil; {
-		position := c.members.rolePosition(headRole)
+		position := c.members.headPosition()
 		if now := position < headWatchers; now != watching {
 			watching = now
 			c.logger.Info("watch of the head", "watching", watching)
@@ -93,6 +93,6 @@
 // publishesHead reports whether this node broadcasts versions that it reads, which the head readers do if the failure
 // domain has members that do not watch the head.
 func (c *configurationController) publishesHead() bool {
-	own := c.members.selfRecord().FailureDomain()
-	return len(c.members.rendezvousOrder(headRole, own)) > headWatchers && c.members.hasRole(headRole, headReaders)
+	order := c.members.headOrder(c.members.selfRecord().FailureDomain())
+	return len(order) > headWatchers && c.members.position(order) < headReaders
 }
--- a/baobabnode/headverifier.go
+++ b/baobabnode/headverifier.go
@@ -27,7 +27,7 @@
 	}
 	c.verification.Verify(c.now()) // Nodes that start together leave the first request to the first member.
 	for jitter := rand.Float64(); ctx.Err() == nil; {
-		order := c.members.rendezvousOrder(headRole, c.members.selfRecord().FailureDomain())
+		order := c.members.headOrder(c.members.selfRecord().FailureDomain())
 		now := c.now()
 		due := c.verification.Due(now, c.members.position(order), len(order), jitter)
 		if now.Before(due) {
--- a/baobabnode/membertable.go
+++ b/baobabnode/membertable.go
@@ -129,6 +129,16 @@
 	return m.table.RendezvousOrder(key, domain)
 }
 
+// headOrder returns the live members of a failure domain in the order in which they follow the head at the source.
+func (m *memberTable) headOrder(domain string) []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.DutyOrder(headDuty, domain)
+}
+
+// headPosition returns the position of this node among the members of its failure domain that follow the head.
+func (m *memberTable) headPosition() int { return m.position(m.headOrder(m.selfRecord().FailureDomain())) }
+
 // count returns the number of live members, and of live members and those that died within a time before now.
 func (m *memberTable) count(now time.Time, within time.Duration) (live, known int) {
 	m.mu.Lock()
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -181,7 +181,8 @@
 func (n *Node) buildControllers() {
 	s := n.settings
 	self := membership.NewMember(s.Node().ID(), s.Listen().PeerAdvertise().String(), s.Listen().Entry().String(),
-		s.Node().FailureDomain(), s.Node().Region(), membership.InitialIncarnation(n.now()))
+		s.Node().FailureDomain(), s.Node().Region(), membership.InitialIncarnation(n.now())).
+		WithLinkSpeed(uint64(s.Balance().LinkBytesPerSecond()))
 	table := membership.NewTable(self,
 		membership.WithSuspicionTimeout(s.Membership().SuspicionTimeout()),
 		membership.WithTickInterval(s.Membership().ProbeInterval()))
--- a/baobabnode/rolloutdecider.go
+++ b/baobabnode/rolloutdecider.go
@@ -71,7 +71,7 @@
 func (c *rolloutController) deciders(service string) []string {
 	var list []membership.Member
 	for _, domain := range c.members.domains() {
-		watchers := c.members.rendezvousOrder(headRole, domain)
+		watchers := c.members.headOrder(domain)
 		list = append(list, watchers[:min(headWatchers, len(watchers))]...)
 	}
 	ids := make([]string, len(list))
--- a/baobabnode/rolloutorders.go
+++ b/baobabnode/rolloutorders.go
@@ -25,7 +25,7 @@
 func (c *rolloutController) pollOrders(ctx context.Context) {
 	read := false
 	for {
-		if !read || c.members.hasRole(headRole, headWatchers) {
+		if !read || c.members.headPosition() < headWatchers {
 			err := c.readOrders(ctx)
 			read = read || err == nil
 			if err != nil {
