node, platform: news of the head counts from when the store showed it

What callers could see: requests handled by a version that was replaced more than the limit ago, at a node that asks for nothing because an old answer looks new to it.

Cause: a watch counted as a proof from the moment at which its response had been read and loaded, and news of other members from their arrival, less an age that left out the way. A node that was frozen, slow or cut off in between counted both as new, and told its failure domain so.

Change: responses of the store name its steady clock. Each node relates that clock to its own boot time from its own requests (a lower bound, so that no time seems later than it was) and dates its watch responses and the news of others, which carry the store's time, by it. Nodes without a recent response of their own take no news as proof and ask. Sources without a clock keep the age. The times of verifications are boot times, as those of the keys' proofs, so that a suspension counts. Proofs of keys, which are bounded by the node's own request, also verify the version in force.

No further request to the store.

--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -261,7 +261,9 @@
 	if p.GetNumber() == 0 {
 		return
 	}
-	a.freshness.Record(account.NewReceivedProof(p.GetNumber(), sent, time.Duration(p.GetAgeUs())*time.Microsecond))
+	proof := account.NewReceivedProof(p.GetNumber(), sent, time.Duration(p.GetAgeUs())*time.Microsecond)
+	a.freshness.Record(proof)
+	a.configuration.prove(proof)
 	if p.GetNumber() > a.board.ActiveVersion().Number() && p.GetNumber() != a.configuration.rejectedNumber() {
 		a.configuration.observeVersion(&wire.Version{Number: p.GetNumber()}, m.PeerAddress(), crossDomain)
 	}
@@ -283,7 +285,9 @@
 	a.recordConfirmed(sent, head)
 	if err := a.configuration.loadIfNewer(ctx, head, a.configuration.publishesHead()); err != nil {
 		a.logger.Debug("confirmed version not in force", "number", head.Version().Number(), "err", err)
+		return
 	}
+	a.configuration.prove(account.NewProof(head.Version().Number(), sent))
 }
 
 // recordConfirmed records that the source confirmed a head in answer to a request sent at a boot time.
--- a/baobabnode/accountcontroller_test.go
+++ b/baobabnode/accountcontroller_test.go
@@ -109,6 +109,7 @@
 		clock := time.Minute
 		a.bootTime = func() time.Duration { return clock }
 		a.members = newMemberTable(a.board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1)))
+		a.configuration = newTestConfigurationController(a.board, &advancingSource{})
 		a.transport = peer.NewTransport(peer.Unauthenticated{})
 		other := peer.NewTransport(peer.Unauthenticated{})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -74,6 +74,7 @@
 	transport        *peer.Transport
 	labels           configuration.Labels // Of the node: its settings, id, failure domain and region.
 	now              func() time.Time
+	bootTime         func() time.Duration
 	logger           *log.Logger
 	headPollInterval time.Duration // Interval between reads of the head.
 	fetchRequests    chan fetchRequest
@@ -292,7 +293,7 @@
 
 // confirmHead confirms the head with the source and puts its version in force if the previous read was stale.
 func (c *configurationController) confirmHead(ctx context.Context, read release.Head) error {
-	sent := account.BootTime()
+	sent := c.bootTime()
 	head, err := c.source.Confirm(ctx, read)
 	if err != nil {
 		return err
@@ -300,7 +301,11 @@
 	if c.confirmed != nil {
 		c.confirmed(sent, head)
 	}
-	return c.loadIfNewer(ctx, head, false)
+	if err := c.loadIfNewer(ctx, head, false); err != nil {
+		return err
+	}
+	c.prove(account.NewProof(head.Version().Number(), sent))
+	return nil
 }
 
 func (c *configurationController) loadIfNewer(ctx context.Context, head release.Head, broadcast bool) error {
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"gopkg.in/tomb.v2"
 
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
@@ -20,7 +21,10 @@
 )
 
 // advancingSource returns a newer version each time the head is read.
-type advancingSource struct{ number atomic.Uint64 }
+type advancingSource struct {
+	number atomic.Uint64
+	clock  release.SourceClock
+}
 
 func (s *advancingSource) snapshot(number uint64) *configuration.Snapshot {
 	return configuration.NewSnapshot(number, configuration.EmptyDocument())
@@ -36,6 +40,10 @@
 	return release.NewHead(s.snapshot(n).Version(), n), nil
 }
 
+func (s *advancingSource) Proof() (account.Proof, bool) { return account.Proof{}, false }
+
+func (s *advancingSource) Clock() *release.SourceClock { return &s.clock }
+
 func (s *advancingSource) Watch(ctx context.Context, _ time.Duration) (release.Head, error) {
 	return s.Head(ctx)
 }
@@ -52,10 +60,10 @@
 	}
 	members := newMemberTable(board, table)
 	return &configurationController{
-		board: board, source: source, now: time.Now, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
+		board: board, source: source, now: time.Now, bootTime: account.BootTime, logger: log.New(io.Discard), labels: configuration.NewLabels(nil),
 		members: members, joined: make(chan struct{}), fetchRequests: make(chan fetchRequest, fetchQueueSize),
 		broadcaster:  &broadcaster{members: members, tomb: stoppedTomb(), now: time.Now, logger: log.New(io.Discard)},
-		verification: release.NewVerification(time.Now(), true), headChecks: newHeadCheckCounters(metrics.NewSet()),
+		verification: release.NewVerification(account.BootTime(), true), headChecks: newHeadCheckCounters(metrics.NewSet()),
 		sightings: newVersionSightings(metrics.NewSet()), updates: make(chan receivedUpdate, updateQueueSize),
 		contents: newContentCounters(metrics.NewSet()),
 	}
@@ -120,7 +128,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	if age := c.verification.Age(time.Now()); age > 10*time.Second {
+	if age := c.verification.Age(c.bootTime()); age > 10*time.Second {
 		t.Errorf("verified %s ago after the source was asked", age)
 	}
 }
@@ -147,9 +155,9 @@
 			if err := controller.install(source.snapshot(4), viaSource); err != nil {
 				t.Fatal(err)
 			}
-			start := time.Now()
+			start := account.BootTime()
 			controller.verification.Verify(start)
-			now := start.Add(time.Second)
+			now := start + time.Second
 			controller.receiveHead(now, &wire.HeadUpdate{Version: &wire.Version{Number: c.told}, AgeMs: c.age.Milliseconds()}, "")
 			want := c.wantAge
 			if c.wantKept {
@@ -165,6 +173,43 @@
 	}
 }
 
+// TestDelayedNewsOfHead guards against a node that takes news of a member as new because they were long on their way.
+func TestDelayedNewsOfHead(t *testing.T) {
+	const shown = time.Hour // On the clock of the source when the version was the newest one.
+	for _, c := range []struct {
+		name      string
+		offset    time.Duration // Boot time at which the source's clock was 0; 0: not known.
+		late      time.Duration // Time from the proof to the arrival of the news.
+		sourceUs  int64
+		wantAge   time.Duration
+		wantsKept bool
+	}{
+		{"at once", time.Minute, 0, shown.Microseconds(), 0, false},
+		{"late", time.Minute, 3 * time.Second, shown.Microseconds(), 3 * time.Second, false},
+		{"clock not known", 0, 0, shown.Microseconds(), 0, true},
+		{"source without a clock", time.Minute, 3 * time.Second, 0, 0, false},
+	} {
+		source := &advancingSource{}
+		controller := newTestConfigurationController(blackboard.NewBoard(), source)
+		if err := controller.install(source.snapshot(4), viaSource); err != nil {
+			t.Fatal(err)
+		}
+		now := time.Minute + shown + c.late
+		controller.verification = release.NewVerification(now-time.Minute, true)
+		if c.offset > 0 {
+			source.clock.Observe(0, now-30*time.Second, now-30*time.Second-c.offset)
+		}
+		controller.receiveHead(now, &wire.HeadUpdate{Version: &wire.Version{Number: 4}, SourceTimeUs: c.sourceUs}, "")
+		want := c.wantAge
+		if c.wantsKept {
+			want = time.Minute
+		}
+		if age := controller.verification.Age(now); age != want {
+			t.Errorf("%s: age %s, want %s", c.name, age, want)
+		}
+	}
+}
+
 // TestBroadcastVersionIsProcessedOnce guards against a node that spends its CPU time on a version several times, because it
 // comes from two members and is fetched as well, and against a sender that waits until the version is in force.
 func TestBroadcastVersionIsProcessedOnce(t *testing.T) {
@@ -187,7 +232,7 @@
 	c.intake.Lock() // Another content is being processed.
 	c.receiveUpdate(update, "")
 	c.receiveUpdate(update, "")
-	c.receiveHead(time.Now(), &wire.HeadUpdate{Version: update.GetVersion()}, "")
+	c.receiveHead(c.bootTime(), &wire.HeadUpdate{Version: update.GetVersion()}, "")
 	if n := len(c.fetchRequests); n > 0 {
 		t.Errorf("%d fetches of a version whose content is there", n)
 	}
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -58,7 +58,9 @@
 			err = c.loadIfNewer(ctx, head, c.publishesHead())
 		}
 		if err == nil {
-			c.verification.Verify(c.now())
+			if p, ok := w.Proof(); ok {
+				c.prove(p)
+			}
 			delay = min(max(c.now().Sub(asked)-wait, 0), maxWatchDelay)
 		}
 		if position == 0 {
--- a/baobabnode/headverifier.go
+++ b/baobabnode/headverifier.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	platform "github.com/baobabdale/baobabdale/baobabplatform"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
 	wire "github.com/baobabdale/baobabdale/baobabwire"
@@ -25,13 +26,13 @@
 	if !c.awaitJoined(ctx) {
 		return
 	}
-	c.verification.Verify(c.now()) // Nodes that start together leave the first request to the first member.
+	c.verification.Verify(c.bootTime()) // Nodes that start together leave the first request to the first member.
 	for jitter := rand.Float64(); ctx.Err() == nil; {
 		order := c.members.headOrder(c.members.selfRecord().FailureDomain())
-		now := c.now()
+		now := c.bootTime()
 		due := c.verification.Due(now, c.members.position(order), len(order), jitter)
-		if now.Before(due) {
-			sleep(ctx, min(due.Sub(now), verifyRecheck))
+		if now < due {
+			sleep(ctx, min(due-now, verifyRecheck))
 			continue
 		}
 		c.askSource(ctx, now)
@@ -40,7 +41,7 @@
 }
 
 // askSource verifies the head with the source, puts a newer version in force and tells the failure domain.
-func (c *configurationController) askSource(ctx context.Context, now time.Time) {
+func (c *configurationController) askSource(ctx context.Context, now time.Duration) {
 	age := c.verification.Age(now)
 	before := c.board.ActiveVersion()
 	attempt, cancel := sourceContext(ctx, verifyTimeout)
@@ -51,12 +52,11 @@
 	}
 	if err != nil {
 		c.headChecks.failed.Inc()
-		c.verification.Fail(c.now())
+		c.verification.Fail(c.bootTime())
 		c.logger.Debug("head not verified", "err", err, "age", age)
 		return
 	}
 	c.headChecks.done.Inc()
-	c.verification.Verify(now)
 	if c.board.ActiveVersion() != before {
 		c.logger.Info("version found by asking the source", "number", c.board.ActiveVersion().Number(), "age", age)
 		c.publish(false)
@@ -70,22 +70,57 @@
 	return context.WithTimeout(platform.WithResponseTimeout(ctx, response), max(response, contentTimeout))
 }
 
+// prove records a proof if it holds for the version in force, or for one that this node has rejected.
+func (c *configurationController) prove(p account.Proof) {
+	if p.Number() <= c.board.ActiveVersion().Number() || p.Number() == c.rejectedNumber() {
+		c.verification.Verify(p.At())
+	}
+}
+
 // announceHead tells the failure domain until when the version in force is known to be the newest one.
 func (c *configurationController) announceHead() {
 	version := c.board.ActiveVersion()
 	if version.Number() == 0 {
 		return
 	}
-	c.broadcaster.broadcastInDomain(&wire.Broadcast{Update: &wire.Broadcast_Head{Head: &wire.HeadUpdate{
-		Version: toWireVersion(version), AgeMs: c.verification.Age(c.now()).Milliseconds(),
-	}}})
+	now := c.bootTime()
+	age := c.verification.Age(now)
+	m := &wire.HeadUpdate{Version: toWireVersion(version), AgeMs: age.Milliseconds()}
+	if clock := c.sourceClock(); clock != nil {
+		if shown, ok := clock.FromBootTime(now, now-age); ok {
+			m.SourceTimeUs = shown.Microseconds()
+		}
+	}
+	c.broadcaster.broadcastInDomain(&wire.Broadcast{Update: &wire.Broadcast_Head{Head: m}})
+}
+
+// sourceClock returns the clock of the source, or nil if the source has none.
+func (c *configurationController) sourceClock() *release.SourceClock {
+	if w, ok := c.source.(Watcher); ok {
+		return w.Clock()
+	}
+	return nil
 }
 
 // receiveHead records what a member says about the head. A version that is not in force here yet proves nothing.
-func (c *configurationController) receiveHead(now time.Time, m *wire.HeadUpdate, address string) {
+func (c *configurationController) receiveHead(now time.Duration, m *wire.HeadUpdate, address string) {
 	c.verification.Hear(now)
 	c.observeVersion(m.GetVersion(), address, false)
-	if m.GetVersion().GetNumber() <= c.board.ActiveVersion().Number() || c.isRejectedWire(m.GetVersion()) {
-		c.verification.Verify(now.Add(-time.Duration(max(m.GetAgeMs(), 0)) * time.Millisecond))
+	if at, ok := c.headProvenAt(now, m); ok {
+		c.prove(account.NewProof(m.GetVersion().GetNumber(), at))
+	}
+}
+
+// headProvenAt returns the boot time at which the version in the news of a member was the newest one, and whether that is
+// known. The age alone does not tell how long the news was on its way, so that it counts only where no clock is shared.
+func (c *configurationController) headProvenAt(now time.Duration, m *wire.HeadUpdate) (time.Duration, bool) {
+	if shown := m.GetSourceTimeUs(); shown != 0 {
+		clock := c.sourceClock()
+		if clock == nil {
+			return 0, false
+		}
+		at, ok := clock.ToBootTime(now, time.Duration(shown)*time.Microsecond)
+		return min(at, now), ok
 	}
+	return now - time.Duration(max(m.GetAgeMs(), 0))*time.Millisecond, true
 }
--- a/baobabnode/membertable.go
+++ b/baobabnode/membertable.go
@@ -137,7 +137,9 @@
 }
 
 // headPosition returns the position of this node among the members of its failure domain that follow the head.
-func (m *memberTable) headPosition() int { return m.position(m.headOrder(m.selfRecord().FailureDomain())) }
+func (m *memberTable) headPosition() int {
+	return m.position(m.headOrder(m.selfRecord().FailureDomain()))
+}
 
 // count returns the number of live members, and of live members and those that died within a time before now.
 func (m *memberTable) count(now time.Time, within time.Duration) (live, known int) {
--- a/baobabnode/metrics.go
+++ b/baobabnode/metrics.go
@@ -25,7 +25,7 @@
 		{"baobab_configuration_in_force_timestamp_seconds", n.activeSinceTimestamp},
 		{"baobab_configuration_number", func() float64 { return float64(n.board.ActiveVersion().Number()) }},
 		{"baobab_configuration_rejected_number", func() float64 { return float64(n.configuration.rejectedNumber()) }},
-		{"baobab_configuration_verified_age_seconds", func() float64 { return n.configuration.verification.Age(n.now()).Seconds() }},
+		{"baobab_configuration_verified_age_seconds", func() float64 { return n.configuration.verification.Age(n.configuration.bootTime()).Seconds() }},
 		{"baobab_membership_endpoints", n.countEndpoints},
 		{"baobab_rollout_running", func() float64 { return float64(n.rollouts.evidence.running.Load()) }},
 		{"baobab_upstream_request_limit", func() float64 {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	admission "github.com/baobabdale/baobabdale/baobabadmission"
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	call "github.com/baobabdale/baobabdale/baobabcall"
@@ -209,9 +210,9 @@
 	_, watched := source.(Watcher)
 	n.configuration = &configurationController{
 		board: n.board, source: source, members: n.members, broadcaster: broadcaster, transport: n.transport,
-		labels: nodeLabels(s.Node().Labels(), self), now: n.now, logger: n.logger,
+		labels: nodeLabels(s.Node().Labels(), self), now: n.now, bootTime: account.BootTime, logger: n.logger,
 		headPollInterval: s.Platform().PollInterval(), fetchRequests: make(chan fetchRequest, fetchQueueSize), joined: make(chan struct{}),
-		verification: release.NewVerification(n.now(), watched), headChecks: newHeadCheckCounters(n.metrics),
+		verification: release.NewVerification(account.BootTime(), watched), headChecks: newHeadCheckCounters(n.metrics),
 		sightings: newVersionSightings(n.metrics), updates: make(chan receivedUpdate, updateQueueSize),
 		contents: newContentCounters(n.metrics),
 	}
--- a/baobabnode/peerhandler.go
+++ b/baobabnode/peerhandler.go
@@ -105,7 +105,7 @@
 	case *wire.Broadcast_Configuration:
 		h.configuration.receiveUpdate(t.Configuration, address)
 	case *wire.Broadcast_Head:
-		h.configuration.receiveHead(h.now(), t.Head, address)
+		h.configuration.receiveHead(h.configuration.bootTime(), t.Head, address)
 	case *wire.Broadcast_Members:
 		h.membership.merge(t.Members.GetRecords())
 	case *wire.Broadcast_Quarantine:
--- a/baobabnode/source.go
+++ b/baobabnode/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	account "github.com/baobabdale/baobabdale/baobabaccount"
 	configuration "github.com/baobabdale/baobabdale/baobabconfiguration"
 	release "github.com/baobabdale/baobabdale/baobabrelease"
 	rollout "github.com/baobabdale/baobabdale/baobabrollout"
@@ -33,4 +34,8 @@
 	// Watch blocks until the head has changed since the last call and returns it. If nothing changes, it returns the
 	// known head after the given wait or earlier. It fails soon after the wait if the source does not respond.
 	Watch(ctx context.Context, wait time.Duration) (release.Head, error)
+	// Proof returns the newest proof that the responses of the source hold, and whether there is one.
+	Proof() (account.Proof, bool)
+	// Clock relates the clock of the source to that of this VM. It knows nothing if the source names no time.
+	Clock() *release.SourceClock
 }
--- a/baobabrelease/verification.go
+++ b/baobabrelease/verification.go
@@ -30,70 +30,66 @@
 
 // A Verification is what a node knows about how long ago its version was the newest one: the time of the last proof,
 // whether it came from the source or from another member. From that follows when the node must ask the source itself, by
-// its own facts alone, so that the silence of others does not leave it with an old version. It is safe for concurrent use.
+// its own facts alone, so that the silence of others does not leave it with an old version. All times are boot times. It is
+// safe for concurrent use.
 type Verification struct {
 	watched bool // The first member watches the source, so that it asks besides only if a watch remains without response.
 
 	mu         sync.Mutex
-	verifiedAt time.Time // Guarded by mu; the version in force was the newest one then. It never goes back.
-	failedAt   time.Time // Guarded by mu; end of the last request to the source that failed.
-	heardAt    time.Time // Guarded by mu; when another member last told of its verification, even of an old one.
+	verifiedAt time.Duration // Guarded by mu; the version in force was the newest one then. It never goes back.
+	failedAt   time.Duration // Guarded by mu; end of the last request to the source that failed.
+	heardAt    time.Duration // Guarded by mu; when another member last told of its verification, even of an old one.
 }
 
 // NewVerification returns a verification for a node whose version is known to be the newest one now, and whose source tells
 // of changes if watched is set. A read of other sources may be stale and proves nothing.
-func NewVerification(now time.Time, watched bool) *Verification {
-	return &Verification{watched: watched, verifiedAt: now}
+func NewVerification(now time.Duration, watched bool) *Verification {
+	return &Verification{watched: watched, verifiedAt: now, failedAt: now, heardAt: now - companyTime}
 }
 
 // Verify records that the version in force was the newest one at a time.
-func (v *Verification) Verify(at time.Time) {
+func (v *Verification) Verify(at time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if at.After(v.verifiedAt) {
-		v.verifiedAt = at
-	}
+	v.verifiedAt = max(v.verifiedAt, at)
 }
 
 // Fail records that a request to the source has failed.
-func (v *Verification) Fail(now time.Time) {
+func (v *Verification) Fail(now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.failedAt = now
 }
 
 // Hear records that another member has told of its verification.
-func (v *Verification) Hear(now time.Time) {
+func (v *Verification) Hear(now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.heardAt = now
 }
 
 // Age returns the time since the version in force was known to be the newest one.
-func (v *Verification) Age(now time.Time) time.Duration {
+func (v *Verification) Age(now time.Duration) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return max(now.Sub(v.verifiedAt), 0)
+	return max(now-v.verifiedAt, 0)
 }
 
 // Due returns when the node must ask the source itself unless it learns more before. Position is the place of the node in
 // the order of its failure domain, members the number of live members in it, and jitter a random number in [0, 1).
-func (v *Verification) Due(now time.Time, position, members int, jitter float64) time.Time {
+func (v *Verification) Due(now time.Duration, position, members int, jitter float64) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	due := v.verifiedAt.Add(v.verifyAge(position, members))
-	if !v.failedAt.After(v.verifiedAt) {
+	due := v.verifiedAt + v.verifyAge(position, members)
+	if v.failedAt <= v.verifiedAt {
 		return due
 	}
 	pause := verifyRetry
-	if now.Sub(v.heardAt) < companyTime {
+	if now-v.heardAt < companyTime {
 		pause = min(max(time.Duration(members)*verifyRetryPerMember, verifyRetry), maxVerifyRetry)
 	}
-	retry := v.failedAt.Add(time.Duration(float64(pause) * (0.75 + jitter/2)))
-	if retry.After(due) {
-		return retry
-	}
-	return due
+	retry := v.failedAt + time.Duration(float64(pause)*(0.75+jitter/2))
+	return max(retry, due)
 }
 
 // verifyAge returns the age of the last verification at which a member asks the source.
--- a/baobabrelease/verification_test.go
+++ b/baobabrelease/verification_test.go
@@ -8,8 +8,8 @@
 // TestVerificationDue guards against a node that waits for the news of others until after it should have a new version,
 // and against many nodes that ask the source although one of them does.
 func TestVerificationDue(t *testing.T) {
-	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	start := 1000 * time.Second
+	at := func(d time.Duration) time.Duration { return start + d }
 	for _, c := range []struct {
 		name              string
 		position, members int
@@ -46,7 +46,7 @@
 			if c.change != nil {
 				c.change(v)
 			}
-			if got := v.Due(at(c.now), c.position, c.members, c.jitter).Sub(start); got != c.want {
+			if got := v.Due(at(c.now), c.position, c.members, c.jitter) - start; got != c.want {
 				t.Errorf("due after %s, want %s", got, c.want)
 			}
 		})
