node: a call that no node answers ends 0.2 s after its deadline

Callers saw: requests that reach the timeout of their route end half a second later, or not before their callers leave.

Cause: the ingress waits for the admitting node beyond the deadline, to learn whether the call ran. That was 0.5 s, which is all that a caller may wait beyond the timeout, so that every call whose admitting node is silent came late.

Change: the wait is 0.2 s.

TestCallsEndSoonAfterDeadline failed before ("calls end up to 600ms after their deadline, want less than 500ms").

--- a/baobabnode/ingress.go
+++ b/baobabnode/ingress.go
@@ -20,7 +20,10 @@
 	answerGrace = 100 * time.Millisecond
 	// longAnswerGrace is the same while admission control refuses calls early. Under overload the answer of a node with a
 	// sixth of a core took longer than answerGrace, and calls that had not run ended with an unknown outcome.
-	longAnswerGrace = 500 * time.Millisecond
+	longAnswerGrace = 200 * time.Millisecond
+	// maxLateness is how long after the deadline of a call its caller has an answer at the latest, also if the admitting
+	// node gives none.
+	maxLateness = 500 * time.Millisecond
 )
 
 // readiness reports whether the node may serve calls, and otherwise why not.
--- a/baobabnode/lateendings.go
+++ b/baobabnode/lateendings.go
@@ -8,7 +8,7 @@
 )
 
 // lateEndingBounds are the least delays after the deadline at which the ending of a call is counted, ascending.
-var lateEndingBounds = []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond}
+var lateEndingBounds = []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, maxLateness}
 
 // lateEndings counts calls whose callers got the head of an answer or a refusal only after the deadline.
 type lateEndings struct {
