node: a version found at the source also goes to other failure domains

What callers could see: an old version for up to 1.6 s at nodes whose watchers have lost the store while others have not.

Cause: a version that a watcher finds was spread in its own failure domain only, and by the first two watchers only. A domain with a third watcher alone, or with none that reaches the store, waited until its members asked the store themselves (1.3 to 1.6 s), each for the whole content.

Change: all watchers spread what they find, unless a broadcast of it came first, and the first two also send it to two other domains, as many as there are in a deployment of three, a constant number in larger ones.

TestFoundVersionReachesOtherDomains failed without the sending ("the version does not reach the other failure domain").

--- a/baobabnode/broadcaster.go
+++ b/baobabnode/broadcaster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,12 +38,15 @@
 
 // broadcast sends an update that originates at this node to all members.
 func (b *broadcaster) broadcast(m *wire.Broadcast) {
-	b.broadcastInDomain(m)
 	own := b.members.selfRecord().FailureDomain()
-	for _, domain := range b.members.domains() {
-		if domain != own {
-			b.goTracked(func() { b.sendToDomain(proto.CloneOf(m), domain) })
-		}
+	b.broadcastIn(m, slices.DeleteFunc(b.members.domains(), func(d string) bool { return d == own }))
+}
+
+// broadcastIn sends an update that originates at this node to all members of its failure domain and of others.
+func (b *broadcaster) broadcastIn(m *wire.Broadcast, others []string) {
+	b.broadcastInDomain(m)
+	for _, domain := range others {
+		b.goTracked(func() { b.sendToDomain(proto.CloneOf(m), domain) })
 	}
 }
 
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -24,6 +25,8 @@
 	// headReaders is the number of members per failure domain that read the head from the platform. Concurrent readers
 	// cannot conflict, because a version is identified by a number and a digest.
 	headReaders = 2
+	// foundDomains is the number of other failure domains to which a head reader sends a version that it has found.
+	foundDomains = 2
 	// headDuty is the duty of the members that read the head.
 	headDuty = "head"
 	// historyLength is how many recent versions a node keeps to answer fetches with deltas.
@@ -215,13 +218,21 @@
 		return err
 	}
 	if c.board.ActiveVersion() == s.Version() {
-		c.publish(true)
+		c.publish(c.otherDomains(math.MaxInt))
 	}
 	return nil
 }
 
-// publish broadcasts the version in force as a delta, to all failure domains or only within its own.
-func (c *configurationController) publish(allDomains bool) {
+// otherDomains returns up to count failure domains other than that of this node, at random.
+func (c *configurationController) otherDomains(count int) []string {
+	own := c.members.selfRecord().FailureDomain()
+	others := slices.DeleteFunc(c.members.domains(), func(d string) bool { return d == own })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(count, len(others))]
+}
+
+// publish broadcasts the version in force as a delta in the failure domain of this node and in other ones.
+func (c *configurationController) publish(others []string) {
 	c.mu.Lock()
 	history := c.history
 	c.mu.Unlock()
@@ -241,11 +252,17 @@
 	m := &wire.Broadcast{Update: &wire.Broadcast_Configuration{Configuration: &wire.ConfigurationUpdate{
 		Version: toWireVersion(next.Version()), BaseNumber: base.Version().Number(), Delta: delta,
 	}}}
-	if allDomains {
-		c.broadcaster.broadcast(m)
+	c.broadcaster.broadcastIn(m, others)
+}
+
+// publishFound broadcasts a version that this node has found at the source. The head readers also send it to some other
+// failure domains, whose own members may not reach the source.
+func (c *configurationController) publishFound(position int) {
+	if position >= headReaders {
+		c.publish(nil)
 		return
 	}
-	c.broadcaster.broadcastInDomain(m)
+	c.publish(c.otherDomains(foundDomains))
 }
 
 // answerDelta returns the delta from a base to the version in force, or the full snapshot if the base is not in the
@@ -325,7 +342,7 @@
 		return err
 	}
 	if broadcast {
-		c.publish(false)
+		c.publishFound(c.members.headPosition())
 	}
 	return nil
 }
@@ -362,7 +379,7 @@
 			pending--
 			if err == nil {
 				if r.crossDomain {
-					c.publish(false)
+					c.publish(nil)
 				}
 				return
 			}
--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -250,6 +250,29 @@
 	}
 }
 
+// TestFoundVersionReachesOtherDomains guards against a failure domain that gets a version late because its own watchers do
+// not reach the source.
+func TestFoundVersionReachesOtherDomains(t *testing.T) {
+	n1, n2 := newTestMembershipController(t, "n1", 1), newTestMembershipController(t, "n2", 1)
+	n1.members.withTable(func(table *membership.Table) []membership.Change {
+		address := n2.members.selfRecord().PeerAddress()
+		return table.Merge(time.Now(), []membership.Member{membership.NewMember("n2", address, address, "b", "r", 1)})
+	})
+	source, c := &advancingSource{}, n1.configuration
+	c.members, c.broadcaster = n1.members, n1.broadcaster
+	for _, v := range []uint64{4, 5} {
+		if err := c.install(source.snapshot(v), viaSource); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.publishFound(headReaders - 1)
+	for deadline := time.Now().Add(30 * time.Second); !n2.configuration.arrived.cover(5); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the version does not reach the other failure domain")
+		}
+	}
+}
+
 // TestUnusableUpdateIsFetched guards against a version that is never fetched because its broadcast content is useless.
 func TestUnusableUpdateIsFetched(t *testing.T) {
 	source := &advancingSource{}
--- a/baobabnode/configurationwatch.go
+++ b/baobabnode/configurationwatch.go
@@ -92,9 +92,9 @@
 	return true
 }
 
-// publishesHead reports whether this node broadcasts versions that it reads, which the head readers do if the failure
-// domain has members that do not watch the head.
+// publishesHead reports whether this node broadcasts versions that it reads, which the members that watch the head do if the
+// failure domain has others. A version that reached this node as a broadcast before is not broadcast again.
 func (c *configurationController) publishesHead() bool {
 	order := c.members.headOrder(c.members.selfRecord().FailureDomain())
-	return len(order) > headWatchers && c.members.position(order) < headReaders
+	return len(order) > headWatchers && c.members.position(order) < headWatchers
 }
--- a/baobabnode/headverifier.go
+++ b/baobabnode/headverifier.go
@@ -59,7 +59,7 @@
 	c.headChecks.done.Inc()
 	if c.board.ActiveVersion() != before {
 		c.logger.Info("version found by asking the source", "number", c.board.ActiveVersion().Number(), "age", age)
-		c.publish(false)
+		c.publishFound(c.members.headPosition())
 	}
 	c.announceHead()
 }
--- a/baobabnode/membershipcontroller_test.go
+++ b/baobabnode/membershipcontroller_test.go
@@ -40,7 +40,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = transport.Serve(l, &peerHandler{membership: c, configuration: c.configuration, logger: logger, now: time.Now})
+		_ = transport.Serve(l, &peerHandler{membership: c, configuration: c.configuration, broadcaster: c.broadcaster, logger: logger, now: time.Now})
 	}()
 	t.Cleanup(func() {
 		running.Kill(nil)
