release, node: times of the source carry its era

A store that was restored has another clock. News of a member that still reads the clock of the store before would be dated by the new one, as new as now if that clock shows less.

TestSourceClock, case "time of the earlier clock": without the comparison of eras "2m23s, true; want 0s, false".

--- a/baobabnode/configurationcontroller_test.go
+++ b/baobabnode/configurationcontroller_test.go
@@ -197,7 +197,7 @@
 		now := time.Minute + shown + c.late
 		controller.verification = release.NewVerification(now-time.Minute, true)
 		if c.offset > 0 {
-			source.clock.Observe(0, now-30*time.Second, now-30*time.Second-c.offset)
+			source.clock.Observe(now-30*time.Second, release.NewSourceTime(0, now-30*time.Second-c.offset))
 		}
 		controller.receiveHead(now, &wire.HeadUpdate{Version: &wire.Version{Number: 4}, SourceTimeUs: c.sourceUs}, "")
 		want := c.wantAge
--- a/baobabnode/headverifier.go
+++ b/baobabnode/headverifier.go
@@ -87,8 +87,8 @@
 	age := c.verification.Age(now)
 	m := &wire.HeadUpdate{Version: toWireVersion(version), AgeMs: age.Milliseconds()}
 	if clock := c.sourceClock(); clock != nil {
-		if shown, ok := clock.FromBootTime(now, now-age); ok {
-			m.SourceTimeUs = shown.Microseconds()
+		if t, ok := clock.FromBootTime(now, now-age); ok {
+			m.SourceTimeUs, m.SourceEra = t.Shown().Microseconds(), t.Era()
 		}
 	}
 	c.broadcaster.broadcastInDomain(&wire.Broadcast{Update: &wire.Broadcast_Head{Head: m}})
@@ -119,7 +119,7 @@
 		if clock == nil {
 			return 0, false
 		}
-		at, ok := clock.ToBootTime(now, time.Duration(shown)*time.Microsecond)
+		at, ok := clock.ToBootTime(now, release.NewSourceTime(m.GetSourceEra(), time.Duration(shown)*time.Microsecond))
 		return min(at, now), ok
 	}
 	return now - time.Duration(max(m.GetAgeMs(), 0))*time.Millisecond, true
--- a/baobabrelease/sourceclock.go
+++ b/baobabrelease/sourceclock.go
@@ -9,6 +9,24 @@
 // millionths diverge by 120 ms in twice that time.
 const clockWindow = 10 * time.Minute
 
+// A SourceTime is a time on the clock of a source of configurations. Times of different eras cannot be compared, because a
+// source that was restored has another clock.
+type SourceTime struct {
+	era   uint64
+	shown time.Duration
+}
+
+// NewSourceTime returns the time that the clock of a source in an era shows.
+func NewSourceTime(era uint64, shown time.Duration) SourceTime {
+	return SourceTime{era: era, shown: shown}
+}
+
+// Era returns the era of the source.
+func (t SourceTime) Era() uint64 { return t.era }
+
+// Shown returns what the clock shows.
+func (t SourceTime) Shown() time.Duration { return t.shown }
+
 // A SourceClock relates the steady clock of a source of configurations to the boot time of this VM. All members read the
 // same clock, so that news of when a version was the newest one stays true however long it is on its way. It is safe for
 // concurrent use.
@@ -33,16 +51,16 @@
 	}
 }
 
-// Observe records that the source's clock showed a time in the response to a request that was sent at a boot time. A source
-// of a higher era has another clock, and responses of a lower one are ignored.
-func (c *SourceClock) Observe(era uint64, sent, shown time.Duration) {
+// Observe records that the source's clock showed a time in the response to a request that was sent at a boot time. It forgets
+// the clock of an earlier era, and ignores responses of one.
+func (c *SourceClock) Observe(sent time.Duration, t SourceTime) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if era < c.era {
+	if t.era < c.era {
 		return
 	}
-	if era > c.era {
-		c.era, c.current, c.earlier = era, clockOffset{}, clockOffset{}
+	if t.era > c.era {
+		c.era, c.current, c.earlier = t.era, clockOffset{}, clockOffset{}
 	}
 	if !c.current.known || sent-c.begun >= clockWindow {
 		if sent-c.begun >= 2*clockWindow {
@@ -50,28 +68,31 @@
 		}
 		c.earlier, c.current, c.begun = c.current, clockOffset{}, sent
 	}
-	c.current.raise(sent - shown)
+	c.current.raise(sent - t.shown)
 }
 
 // ToBootTime returns a boot time at or before the one at which the source's clock showed a time, and whether it is known.
-func (c *SourceClock) ToBootTime(now, shown time.Duration) (time.Duration, bool) {
+func (c *SourceClock) ToBootTime(now time.Duration, t SourceTime) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	offset, ok := c.offset(now)
-	return shown + offset, ok
+	return t.shown + offset, ok && t.era == c.era
 }
 
 // FromBootTime returns what the source's clock showed at a boot time, as ToBootTime relates them, and whether it is known.
-func (c *SourceClock) FromBootTime(now, at time.Duration) (time.Duration, bool) {
+func (c *SourceClock) FromBootTime(now, at time.Duration) (SourceTime, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	offset, ok := c.offset(now)
-	return at - offset, ok
+	return NewSourceTime(c.era, at-offset), ok
 }
 
+// offset returns the greatest bound of both windows, and whether there is one. It requires mu.
 func (c *SourceClock) offset(now time.Duration) (time.Duration, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	best := c.current
 	if now-c.begun >= 2*clockWindow {
 		return 0, false
 	}
+	best := c.current
 	if c.earlier.known {
 		best.raise(c.earlier.value)
 	}
