--- a/baobabnode/versionsightings.go
+++ b/baobabnode/versionsightings.go
@@ -19,8 +19,8 @@
 
 // versionSightings measures how long versions that this node knows of take to come into force.
 type versionSightings struct {
-	fetched map[installPath]*metrics.Histogram // Seconds from the sighting until the content was there.
-	applied *metrics.Histogram                 // Seconds from there until the version was in force.
+	fetched map[installPath]*metrics.Summary // Seconds from the sighting until the content was there.
+	applied *metrics.Summary                 // Seconds from there until the version was in force.
 
 	mu        sync.Mutex
 	sightings []sighting // Guarded by mu; ascending by number, none in force.
@@ -28,10 +28,10 @@
 
 func newVersionSightings(set *metrics.Set) *versionSightings {
 	v := &versionSightings{
-		fetched: map[installPath]*metrics.Histogram{}, applied: set.NewHistogram("baobab_configuration_apply_seconds"),
+		fetched: map[installPath]*metrics.Summary{}, applied: set.NewSummary("baobab_configuration_apply_seconds"),
 	}
 	for _, p := range []installPath{viaSource, viaBroadcast, viaMember, viaOperator} {
-		v.fetched[p] = set.NewHistogram(fmt.Sprintf("baobab_configuration_fetch_seconds{via=%q}", p))
+		v.fetched[p] = set.NewSummary(fmt.Sprintf("baobab_configuration_fetch_seconds{via=%q}", p))
 	}
 	return v
 }
