--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"regexp"
 	"testing"
 	"time"
 
@@ -88,6 +89,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
+		if t.Failed() {
+			printProcessStates(t, m)
+		}
 		m.Close()
 		if t.Failed() {
 			printLogTails(t, m)
@@ -106,6 +110,24 @@
 	return m
 }
 
+// printProcessStates prints which nodes have ended or are stopped, as the kernel sees them.
+func printProcessStates(t *testing.T, m *baobabemulator.Mesh) {
+	t.Helper()
+	for _, n := range m.Nodes() {
+		pid := n.NodeProcess().PID()
+		if pid == 0 {
+			t.Logf("%s: the process has ended", n.NodeProcess().Name())
+			continue
+		}
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		state := regexp.MustCompile(`(?m)^State:\s*(.*)$`).FindSubmatch(status)
+		if err != nil || state == nil || state[1][0] == 'S' || state[1][0] == 'R' {
+			continue
+		}
+		t.Logf("%s: state %s", n.NodeProcess().Name(), state[1])
+	}
+}
+
 // applyExample applies an example configuration and waits until every node has activated it and is ready.
 func applyExample(t *testing.T, m *baobabemulator.Mesh, deployment string) {
 	t.Helper()
