--- a/baobabproof/main_test.go
+++ b/baobabproof/main_test.go
@@ -110,21 +110,13 @@
 	return m
 }
 
-// printProcessStates prints which nodes have ended or are stopped, as the kernel sees them.
+// printProcessStates prints the state of the nodes' processes as the kernel sees it; process 0 has ended.
 func printProcessStates(t *testing.T, m *baobabemulator.Mesh) {
 	t.Helper()
 	for _, n := range m.Nodes() {
 		pid := n.NodeProcess().PID()
-		if pid == 0 {
-			t.Logf("%s: the process has ended", n.NodeProcess().Name())
-			continue
-		}
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-		state := regexp.MustCompile(`(?m)^State:\s*(.*)$`).FindSubmatch(status)
-		if err != nil || state == nil || state[1][0] == 'S' || state[1][0] == 'R' {
-			continue
-		}
-		t.Logf("%s: state %s", n.NodeProcess().Name(), state[1])
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		t.Logf("%s: process %d %s", n.ID(), pid, regexp.MustCompile(`(?m)^State:.*$`).Find(status))
 	}
 }
 
