--- a/review/standin2/scenarios.go
+++ b/review/standin2/scenarios.go
@@ -19,6 +19,8 @@
 	host      = "hulo84.example"
 	// touchAfter is the bound stable_window_s: so long after its start a machine is in touch.
 	touchAfter = 3 * time.Second
+	// lateBy is how late a heartbeat arrives.
+	lateBy = 2600 * time.Millisecond
 	// drainLimit is the bound drain_s.
 	drainLimit = 2 * time.Second
 )
@@ -122,16 +124,18 @@
 	}
 }
 
-// A drainWatch counts the requests that reach a backend later than drain_s after its leaving was acknowledged.
+// A drainWatch counts the requests that reach a backend later than drain_s after its leaving was acknowledged, while all
+// machines are in touch.
 type drainWatch struct {
 	acknowledged atomic.Int64 // Since the start of the case; 0: not yet.
+	inTouch      atomic.Int64 // Since the start of the case; from then on all machines are in touch.
 	late         atomic.Int64
 }
 
 func (w *drainWatch) observe(b *backend) {
 	b.onRun = func(r *http.Request) bool {
 		at := time.Duration(w.acknowledged.Load())
-		if now := b.rec.now(); at > 0 && now > at+drainLimit {
+		if now := b.rec.now(); at > 0 && now > at+drainLimit && now > time.Duration(w.inTouch.Load()) {
 			w.late.Add(1)
 			b.rec.write("LATE: %s gets %s %.3f s after its leaving was acknowledged", b.id,
 				r.Header.Get("X-Baobabdale-Request-Id"), (now - at).Seconds())
@@ -181,7 +185,7 @@
 	defer traffic(d, 100, func(n *node) { c.do(n, http.MethodGet, host, "/quotes/2f", time.Second, "") })()
 	time.Sleep(touchAfter)
 	ready()
-	late := x.heartbeat("ready")
+	late, lateSent := x.heartbeat("ready"), k.rec.now()
 	x.leaving.Store(true)
 	if !x.leave() {
 		return false, fmt.Errorf("the leaving was not acknowledged")
@@ -190,21 +194,24 @@
 	k.rec.say("the leaving of %s was acknowledged", x.id)
 	time.Sleep(300 * time.Millisecond)
 	if k.trouble {
+		watch.inTouch.Store(int64(time.Hour))
 		d.killProcesses()
 		k.rec.say("all processes of the system were killed")
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 		if err := d.startAll(); err != nil {
 			return false, err
 		}
 		if err := d.awaitReady(10 * time.Second); err != nil {
 			return false, err
 		}
+		watch.inTouch.Store(int64(k.rec.now() + touchAfter))
 	}
-	time.Sleep(touchAfter + time.Second)
-	k.rec.say("the last heartbeat of %s before its leaving arrives late", x.id)
+	time.Sleep(lateSent + lateBy - k.rec.now())
+	k.rec.say("the last heartbeat of %s before its leaving arrives %s late", x.id, lateBy)
 	x.send(late)
-	time.Sleep(4 * time.Second)
-	k.rec.say("%d requests reached %s later than %s after the acknowledgement", watch.late.Load(), x.id, drainLimit)
+	time.Sleep(7 * time.Second)
+	k.rec.say("%d requests reached %s later than %s after the acknowledgement, all machines in touch", watch.late.Load(), x.id,
+		drainLimit)
 	return watch.late.Load() > 0, nil
 }
 
