node, upstream: departures are recorded in the platform before they are acknowledged

Cause: the leaving was in the memory of its node and in the member records of its peers, and gone when all processes ended. A heartbeat from before it, 2.6 s late, then registered the upstream as ready. Evidence: the log of the restarted node has nothing about the upstream until that heartbeat ("upstream changed ... state=ready"). Ruled out by the log: a record that peers handed back, the discovery by health check, and the comparison of start and number, which had nothing to compare with.

Change: a node writes the drain or leaving of its upstream into a row of its own, before it responds, and reads the row when it starts; until then, for start_patience at most, it shows no upstream. Announcements of that process up to the drain have no effect. A later start, another id and a revoked drain pass. Numbers start at 0; 0 was taken for no number before. A process whose clock was set back between two starts is used once it has announced itself for the heartbeat limit, it was refused for ever.

TestLeftUpstreamAfterMassRestart failed with the row neither read nor written: "late announcement: status 204, want 410".

--- a/baobabemulator/meshnode.go
+++ b/baobabemulator/meshnode.go
@@ -71,6 +71,9 @@
 // OperatorAddress returns the address of the operator API.
 func (n *MeshNode) OperatorAddress() string { return fmt.Sprintf("%s:%d", n.address, portOperator) }
 
+// AnnounceURL returns the base URL at which the upstream announces itself.
+func (n *MeshNode) AnnounceURL() string { return fmt.Sprintf("http://%s:%d", n.address, portAnnounce) }
+
 // SettingsFile returns the path of the settings file of the node.
 func (n *MeshNode) SettingsFile() string { return n.settingsFile }
 
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -66,6 +66,7 @@
 	configuration *configurationController
 	membership    *membershipController
 	upstream      *upstreamController
+	departures    *departureController
 	quarantine    *quarantineController
 	accounts      *accountController
 	limits        *limitController
@@ -86,7 +87,7 @@
 	n := &Node{
 		settings: s, logger: logger, metrics: metrics.NewSet(), tomb: new(tomb.Tomb), now: time.Now,
 		board: blackboard.NewBoard(), gate: newGate(s.Upstream(), s.Admission()), endpointStats: route.NewEndpointStats(),
-		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit())),
+		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit()), upstream.WithRestore()),
 	}
 	n.overrides.withdrawalLimit = s.Accounts().WithdrawalLimit()
 	n.overrides.gracePeriod, n.overrides.drainTimeout = s.Shutdown().GracePeriod(), s.Shutdown().DrainTimeout()
@@ -229,6 +230,8 @@
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
 		clientOptions: n.overrides.clientOptions, probes: s.Upstream().Probes(),
 	}
+	n.departures = newDepartureController(n.store, n.registry, s.Node().FailureDomain(), s.Node().ID(), s.Platform().StartWait(),
+		n.logger, n.metrics)
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, registry: n.registry, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
 		decisions: n.decisionLog, dependencies: n.dependencies, rollouts: n.rollouts,
@@ -348,7 +351,7 @@
 		n.serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
 	}
 	for _, run := range []func(context.Context) error{
-		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.seeds.run, n.quarantine.run, n.accounts.run, n.limits.run, n.rollouts.run,
+		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.departures.run, n.seeds.run, n.quarantine.run, n.accounts.run, n.limits.run, n.rollouts.run,
 		n.syncAdmissionPolicy, n.sweepEndpointStats, (&shortageLog{gate: n.gate, now: n.now, logger: n.logger}).run,
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
@@ -408,9 +411,9 @@
 // announcementHandler returns the HTTP handler for announcements of the local upstream.
 func (n *Node) announcementHandler() http.Handler {
 	if n.overrides.announcementHandler != nil {
-		return n.overrides.announcementHandler(n.registry)
+		return n.departures.acknowledge(n.overrides.announcementHandler(n.registry))
 	}
-	return upstream.NewAnnouncementHandler(n.registry)
+	return n.departures.acknowledge(upstream.NewAnnouncementHandler(n.registry))
 }
 
 // serveReady responds with 503 Service Unavailable while callers should not send calls to this node.
--- a/baobabnode/seedregistry_test.go
+++ b/baobabnode/seedregistry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,33 +21,74 @@
 // A memoryStore is a table in memory without limits. Its operations fail with err if that is set.
 type memoryStore struct {
 	platform.Store
+	mu      sync.Mutex
 	rows    map[string]platform.Row
 	err     error
 	commits int
+	lose    int // Commits from now on that are applied and have no response.
+	refuse  int // Commits from now on that are not applied.
 }
 
-func (s *memoryStore) Scan(context.Context, string) ([]platform.Row, error) {
+func (s *memoryStore) setErr(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Row, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows[key]
+	return r, ok, s.err
+}
+
+func (s *memoryStore) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var rows []platform.Row
-	for _, r := range s.rows {
-		rows = append(rows, r)
+	for key, r := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, r)
+		}
 	}
 	slices.SortFunc(rows, func(a, b platform.Row) int { return int(a.Revision()) - int(b.Revision()) })
 	return rows, s.err
 }
 
 func (s *memoryStore) Commit(_ context.Context, tx platform.Transaction) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.err != nil {
 		return 0, s.err
 	}
+	if s.refuse > 0 {
+		s.refuse--
+		return 0, platform.NewError("commit", platform.KindThrottled, nil)
+	}
+	var current []platform.Row
+	conflict := false
 	for _, c := range tx.Conditions() {
-		if s.rows[c.Key()].Revision() != c.Revision() {
-			return 0, platform.NewConflict("commit", nil)
+		r, ok := s.rows[c.Key()]
+		if ok {
+			current = append(current, r)
 		}
+		conflict = conflict || r.Revision() != c.Revision()
+	}
+	if conflict {
+		return 0, platform.NewConflict("commit", current)
 	}
 	s.commits++
 	for _, w := range tx.Writes() {
+		if w.Deleted() {
+			delete(s.rows, w.Key())
+			continue
+		}
 		s.rows[w.Key()] = platform.NewRow(w.Key(), w.Value(), uint64(s.commits)+100)
 	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, platform.NewError("commit", platform.KindUnknownOutcome, nil)
+	}
 	return uint64(s.commits) + 100, nil
 }
 
--- a/baobabupstream/announcement.go
+++ b/baobabupstream/announcement.go
@@ -26,7 +26,8 @@
 	state        State
 	startedAt    time.Time // On the node's clock, or on the upstream's if it announces the time itself; zero: unknown.
 	startFromAge bool      // startedAt was computed from an age, so a delayed announcement makes it too late.
-	sequence     uint64    // Increases with each announcement of a process; 0: unknown.
+	sequence     uint64    // Increases with each announcement of a process.
+	sequenced    bool      // The sequence is known.
 }
 
 // AnnouncementOption sets an optional property of an Announcement.
@@ -34,7 +35,9 @@
 
 // WithSequence sets a number that increases with each announcement of a process, so that one that arrives out of order
 // is detected.
-func WithSequence(n uint64) AnnouncementOption { return func(a *Announcement) { a.sequence = n } }
+func WithSequence(n uint64) AnnouncementOption {
+	return func(a *Announcement) { a.sequence, a.sequenced = n, true }
+}
 
 // WithStart sets the start time of the upstream.
 func WithStart(t time.Time) AnnouncementOption { return func(a *Announcement) { a.startedAt = t } }
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -23,14 +23,20 @@
 	current             Announcement
 	state               State // Empty: no upstream is announced.
 	lastHeartbeatAt     time.Time
-	departedID          string // Upstream that left last; its delayed heartbeats are refused.
-	departedAt          time.Time
-	departedStartedAt   time.Time // Start time of the upstream that left last; zero: unknown.
+	departure           Departure // Last upstream that drained or left; its delayed heartbeats are refused.
+	restoring           bool      // The departure that an earlier process of this node recorded is not known yet.
+	excluded            excludedProcess
 	supersededRefusedAt time.Time // First refusal of a superseded process since lastHeartbeatAt.
 	notice              Notice    // Last notice of the current process; its leaving is final.
 	inherited           inheritedNotice
 }
 
+// An excludedProcess is a process with the id of the upstream that left last, by its start an earlier one.
+type excludedProcess struct {
+	first   Announcement
+	firstAt time.Time
+}
+
 // An inheritedNotice is the last notice of an upstream that an earlier process of this node received.
 type inheritedNotice struct {
 	upstreamID string    // Empty: none.
@@ -52,6 +58,9 @@
 	return func(r *Registry) { r.heartbeatLimit = d }
 }
 
+// WithRestore makes the registry show no upstream until Restore has been called.
+func WithRestore() RegistryOption { return func(r *Registry) { r.restoring = true } }
+
 // NewRegistry returns a registry without an upstream.
 func NewRegistry(options ...RegistryOption) *Registry {
 	r := &Registry{heartbeatLimit: defaultHeartbeatLimit, changed: make(chan struct{}, 1)}
@@ -70,13 +79,13 @@
 	const operation = "announce upstream"
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a.upstreamID == r.departedID && !r.restartedAfterLeave(a) {
-		return newError(operation, KindGone, "upstream %s has left", a.upstreamID)
+	if kind := r.departure.excludes(a); kind != "" && !r.isAliveAfterDeparture(now, a) {
+		return newError(operation, kind, "upstream %s drains or has left", a.upstreamID)
 	}
 	if r.isSuperseded(a) && !r.shouldReinstate(now) {
 		return newError(operation, KindGone, "upstream %s was replaced by a process that started later", a.upstreamID)
 	}
-	if r.sameProcess(a) && a.sequence > 0 && a.sequence <= r.current.sequence {
+	if r.sameProcess(a) && a.sequenced && r.current.sequenced && a.sequence <= r.current.sequence {
 		return newError(operation, KindOutOfOrder, "announcement %d came after announcement %d",
 			a.sequence, r.current.sequence)
 	}
@@ -91,6 +100,7 @@
 			r.notice = r.inherited.notice
 		}
 	}
+	r.observeState(now, a)
 	if r.notice.leaving {
 		a.state = StateDraining
 	}
@@ -102,14 +112,19 @@
 	return nil
 }
 
-// restartedAfterLeave reports whether an announcement with the id of the upstream that left last comes from a process
-// started later. Start times that the upstream announces itself are compared with each other, because the clocks of node
-// and upstream may differ.
-func (r *Registry) restartedAfterLeave(a Announcement) bool {
-	if !a.startFromAge && !r.departedStartedAt.IsZero() {
-		return a.startedAt.After(r.departedStartedAt)
+// isAliveAfterDeparture reports whether an announcement that the departure excludes comes from a process that started
+// after it: its start differs from that of the departed process, and it keeps announcing itself. Its clock was set back
+// between the two.
+func (r *Registry) isAliveAfterDeparture(now time.Time, a Announcement) bool {
+	if a.startFromAge || a.startedAt.IsZero() || r.departure.startedAt.IsZero() || a.startedAt.Equal(r.departure.startedAt) {
+		return false
 	}
-	return a.startedAt.After(r.departedAt)
+	first := r.excluded.first
+	if first.upstreamID != a.upstreamID || !first.startedAt.Equal(a.startedAt) {
+		r.excluded = excludedProcess{first: a, firstAt: now}
+		return false
+	}
+	return a.sequence > first.sequence && now.Sub(r.excluded.firstAt) >= r.heartbeatLimit
 }
 
 // isSuperseded reports whether the current upstream has the id or the address of a and started later.
@@ -204,14 +219,64 @@
 	if r.state == "" || r.current.upstreamID != upstreamID {
 		if r.state == "" {
 			// This node may have started after the upstream and not have received an announcement yet.
-			r.departedID, r.departedAt, r.departedStartedAt = upstreamID, now, time.Time{}
+			left := Departure{upstreamID: upstreamID, observedAt: now, gone: true}
+			if r.departure.upstreamID == upstreamID {
+				left = r.departure.left()
+			}
+			r.departure = left
 		}
 		return false
 	}
-	r.departedID, r.departedAt, r.departedStartedAt = upstreamID, now, r.current.startedAt
+	left := newDeparture(now, r.current, true)
+	if r.state == StateDraining && r.departure.sameProcess(left) {
+		left = r.departure.left()
+	}
+	r.departure = left
+	r.remove()
+	return true
+}
+
+// remove removes the current upstream, which has left.
+func (r *Registry) remove() {
 	r.current, r.state, r.notice = Announcement{}, "", Notice{leaving: true}
 	r.notify()
-	return true
+}
+
+// observeState records the first announcement of a drain, and forgets a drain that its process has revoked.
+func (r *Registry) observeState(now time.Time, a Announcement) {
+	d := newDeparture(now, a, false)
+	same := r.departure.sameProcess(d)
+	switch {
+	case a.state == StateDraining && !same:
+		r.departure = d
+	case a.state.AcceptsCalls() && same:
+		r.departure = Departure{}
+	}
+}
+
+// Departure returns the last departure that this node has observed or restored; it is zero if there is none.
+func (r *Registry) Departure() Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.departure
+}
+
+// Restore sets the departure that an earlier process of this node has recorded; zero: none. A departure that this process
+// has observed itself is later and stays. An upstream that the departure excludes is removed. Restore can be called more
+// than once.
+func (r *Registry) Restore(d Departure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.departure.IsZero() {
+		r.departure = d
+	}
+	if r.state != "" && r.departure.excludes(r.current) != "" {
+		r.remove()
+	}
+	if r.restoring {
+		r.restoring = false
+		r.notify()
+	}
 }
 
 // MarkFailed marks the upstream as failed until its next heartbeat, for example because its address refuses
@@ -241,10 +306,21 @@
 	r.notify()
 }
 
-// Current returns the announcement and the state of the upstream; false if none is announced.
+// Announced reports whether an upstream is announced, also before Restore.
+func (r *Registry) Announced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state != ""
+}
+
+// Current returns the announcement and the state of the upstream; false if none is announced, or if departures are still
+// to be restored.
 func (r *Registry) Current() (Announcement, State, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.restoring {
+		return Announcement{}, "", false
+	}
 	return r.current, r.state, r.state != ""
 }
 
