node, upstream, quarantine: a lost answer is no crash of its upstream

Cause: each connection that broke while a call ran, and each answer that broke off, counted as a crash; two of them at two upstreams bar the request, and what is barred cannot run and clear itself. Evidence: two "crash report received" within 15 ms with one fingerprint, no process had ended. Ruled out by the refusal reason: ejected or failed upstreams.

Change: the node looks for up to 100 ms whether the process of the upstream has ended, that is whether no connection to it is open and a new one is refused. Only then the call is reported as a crash; a new counter tells the two apart.

--- a/baobabnode/admitter.go
+++ b/baobabnode/admitter.go
@@ -99,6 +99,7 @@
 	shutdown     atomic.Pointer[shutdown] // Nil unless the node is stopping.
 
 	pendingRecords sync.WaitGroup // Answers that are being recorded.
+	crashChecks    sync.WaitGroup // Calls of which it is not known yet whether the upstream crashed.
 }
 
 // Load returns the load of the admission gate.
@@ -224,7 +225,7 @@
 		return nil, call.NewRefusal(call.ReasonUpstreamUnavailable, call.OutcomeNotRun, "the upstream could not be reached")
 	case upstream.ConnectionFailed:
 		permit.Release(a.now(), admission.OutcomeFailed)
-		a.reportCrash(r, u)
+		a.reportFailure(r, u)
 		return nil, call.NewRefusal(call.ReasonUpstreamFailed, call.OutcomeUnknown, "the connection to the upstream failed while it ran the call")
 	case upstream.Cancelled:
 		permit.Release(a.now(), admission.OutcomeCancelled)
@@ -276,7 +277,7 @@
 		permit.Release(a.now(), outcome)
 		a.logIfLate(r, permit, u, answer.Status())
 		if err := t.Failure(); err != nil && !isContextError(err) {
-			a.reportCrash(r, u)
+			a.reportFailure(r, u)
 		}
 		if !complete {
 			return
@@ -352,11 +353,18 @@
 	return call.NewRefusal(reason, call.OutcomeNotRun, detail)
 }
 
-// reportCrash reports a possible crash of the upstream. A reused connection may only have been closed as idle, but that
-// cannot be distinguished from a crash. A request that did not cause a crash is cleared the next time it runs.
-func (a *Admitter) reportCrash(r *admissionRequest, u *blackboard.Upstream) {
-	u.HealthTracker().RecordCall(a.now(), false)
-	a.quarantine.reportCrash(a.now(), r, u)
+// reportFailure reports that the connection to the upstream failed while it ran a request. That was a crash only if the
+// process of the upstream has ended: an answer that is lost or malformed ends its connection, too.
+func (a *Admitter) reportFailure(r *admissionRequest, u *blackboard.Upstream) {
+	failedAt := a.now()
+	u.HealthTracker().RecordCall(failedAt, false)
+	a.crashChecks.Go(func() {
+		if !u.Client().ProcessEnded(context.Background()) {
+			a.quarantine.recordBrokenCall(failedAt, r, u)
+			return
+		}
+		a.quarantine.reportCrash(failedAt, r, u)
+	})
 }
 
 // replayRecord returns the recorded answer of an earlier call with the same idempotency key.
--- a/baobabnode/membershipcontroller_test.go
+++ b/baobabnode/membershipcontroller_test.go
@@ -36,7 +36,7 @@
 		broadcaster:   &broadcaster{members: m, transport: transport, tomb: running, now: time.Now, logger: logger},
 		configuration: newTestConfigurationController(board, &advancingSource{}),
 	}
-	c.quarantine = newQuarantineController(board, c.broadcaster, time.Now, logger, newDecisionLog(logger, metrics.NewSet()))
+	c.quarantine = newQuarantineController(board, c.broadcaster, time.Now, logger, newDecisionLog(logger, metrics.NewSet()), metrics.NewSet())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -191,7 +191,7 @@
 	n.members = newMemberTable(n.board, table)
 	broadcaster := &broadcaster{members: n.members, transport: n.transport, tomb: n.tomb, now: n.now, logger: n.logger}
 	n.decisionLog = newDecisionLog(n.logger, n.metrics)
-	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog)
+	n.quarantine = newQuarantineController(n.board, broadcaster, n.now, n.logger, n.decisionLog, n.metrics)
 	n.accounts = n.newAccountController()
 	n.limits = newLimitController(n.members, n.transport, broadcaster, n.now, n.logger, n.metrics)
 	n.limits.limitOf, n.limits.accountsUsed = n.accountLimit, n.accountsUsed
@@ -389,6 +389,7 @@
 	if !waitFor(ctx, &n.admitter.pendingRecords) {
 		n.logger.Error("answers under idempotency keys were not recorded")
 	}
+	waitFor(ctx, &n.admitter.crashChecks)
 	time.Sleep(lingerTime)
 	n.logger.Info("stopped")
 }
--- a/baobabnode/quarantinecontroller.go
+++ b/baobabnode/quarantinecontroller.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
@@ -26,15 +27,25 @@
 	now         func() time.Time
 	logger      *log.Logger
 	decisions   *decisionLog
+	counters    failedCallCounters
 }
 
 func newQuarantineController(board *blackboard.Board, b *broadcaster, now func() time.Time, logger *log.Logger,
-	decisions *decisionLog) *quarantineController {
+	decisions *decisionLog, set *metrics.Set) *quarantineController {
 	return &quarantineController{
 		board: board, list: quarantine.NewList(), broadcaster: b, now: now, logger: logger, decisions: decisions,
+		counters: failedCallCounters{
+			crashed: set.NewCounter(`baobab_upstream_failed_calls_total{process="ended"}`),
+			broken:  set.NewCounter(`baobab_upstream_failed_calls_total{process="goes_on"}`),
+		},
 	}
 }
 
+// failedCallCounters counts the calls whose connection to the upstream failed, by what became of its process.
+type failedCallCounters struct {
+	crashed, broken *metrics.Counter
+}
+
 // run applies the policy of the local service and removes expired crash reports until ctx is done.
 func (c *quarantineController) run(ctx context.Context) error {
 	for {
@@ -76,13 +87,20 @@
 	return len(seen), refused
 }
 
-// reportCrash records and broadcasts that the connection to the upstream failed while it ran a request.
+// recordBrokenCall records that the connection to the upstream failed while it ran a request, and that its process goes on.
+func (c *quarantineController) recordBrokenCall(failedAt time.Time, r *admissionRequest, u *blackboard.Upstream) {
+	c.counters.broken.Inc()
+	c.decisions.write(failedAt, "call broken by an upstream that goes on", "upstream", u.ID(), "call", r.call.ID())
+}
+
+// reportCrash records and broadcasts that the upstream crashed while it ran a request.
 func (c *quarantineController) reportCrash(now time.Time, r *admissionRequest, u *blackboard.Upstream) {
 	report, added := c.list.Report(now, fingerprintOf(r), u.ID(), r.call.ID())
+	c.counters.crashed.Inc()
 	if !added {
 		return
 	}
-	c.logger.Warn("upstream failed while it ran a request", "upstream", u.ID(), "call", r.call.ID(),
+	c.logger.Warn("upstream crashed while it ran a request", "upstream", u.ID(), "call", r.call.ID(),
 		"fingerprint", report.Fingerprint())
 	c.broadcaster.broadcast(&wire.Broadcast{Update: &wire.Broadcast_Quarantine{Quarantine: &wire.QuarantineUpdate{
 		Reports: []*wire.CrashReport{{
--- a/baobabquarantine/list.go
+++ b/baobabquarantine/list.go
@@ -32,7 +32,7 @@
 type upstreamCrash struct {
 	upstreamID string
 	id         uint64
-	at         time.Time // When the first of its calls failed.
+	at         time.Time // When the call that was reported first failed.
 }
 
 // An Option sets an optional property of a List.
@@ -71,19 +71,19 @@
 
 func (l *List) shard(f Fingerprint) *shard { return &l.shards[f[0]%shardCount] }
 
-// Report records a crash observed by this node. It returns the report to broadcast and whether it was new. Equal requests
-// that fail on one upstream within crashTime were in flight at the same crash and count once.
-func (l *List) Report(now time.Time, f Fingerprint, upstreamID, callID string) (Report, bool) {
-	r := NewReport(f, upstreamID, callID, now).WithCrash(l.crashID(now, upstreamID))
-	return r, l.shard(f).add(now, *l.rule.Load(), r)
+// Report records a crash observed by this node, at which a call failed. It returns the report to broadcast and whether it
+// was new. Equal requests that fail on one upstream within crashTime were in flight at the same crash and count once.
+func (l *List) Report(failedAt time.Time, f Fingerprint, upstreamID, callID string) (Report, bool) {
+	r := NewReport(f, upstreamID, callID, failedAt).WithCrash(l.crashID(failedAt, upstreamID))
+	return r, l.shard(f).add(failedAt, *l.rule.Load(), r)
 }
 
-// crashID returns the id of the crash to which a call belongs that fails now.
-func (l *List) crashID(now time.Time, upstreamID string) uint64 {
+// crashID returns the id of the crash to which a call belongs that failed at a time. Calls are reported in any order.
+func (l *List) crashID(failedAt time.Time, upstreamID string) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if age := now.Sub(l.last.at); l.last.id == 0 || l.last.upstreamID != upstreamID || age < 0 || age >= crashTime {
-		l.last = upstreamCrash{upstreamID: upstreamID, id: rand.Uint64() | 1, at: now}
+	if l.last.id == 0 || l.last.upstreamID != upstreamID || failedAt.Sub(l.last.at).Abs() >= crashTime {
+		l.last = upstreamCrash{upstreamID: upstreamID, id: rand.Uint64() | 1, at: failedAt}
 	}
 	return l.last.id
 }
--- a/baobabquarantine/list_test.go
+++ b/baobabquarantine/list_test.go
@@ -220,6 +220,7 @@
 	}{
 		{"at the same time", []int{0, 0, 0, 0}, false},
 		{"within the time of a crash", []int{0, 100, 300, 499}, false},
+		{"reported in another order", []int{20, 0, 10, 30}, false},
 		{"another crash of the upstream", []int{0, 100, 500, 600}, true},
 		{"the clock goes back", []int{1000, 0}, true},
 	} {
--- a/baobabupstream/client.go
+++ b/baobabupstream/client.go
@@ -42,6 +42,7 @@
 	headerNames     call.HeaderNames
 	expectEchoedIDs bool // The upstream returns the id of the call with each answer.
 	closeDelimited  bool // An answer that ends with its connection is complete.
+	connections     *connectionSet
 	transport       *http.Transport
 }
 
@@ -66,16 +67,9 @@
 // NewClient returns a client for the upstream at address, which accepts the given number of connections.
 func NewClient(address string, connections int, options ...ClientOption) *Client {
 	limit := max(connections-probeConnections, 1)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &connection{Conn: conn}, nil
-	}
-	c := &Client{address: address, headerNames: call.DefaultHeaderNames(), transport: &http.Transport{
-		DialContext:            dial,
+	set := newConnectionSet(address)
+	c := &Client{address: address, headerNames: call.DefaultHeaderNames(), connections: set, transport: &http.Transport{
+		DialContext:            func(ctx context.Context, _, _ string) (net.Conn, error) { return set.dial(ctx) },
 		DisableCompression:     true,
 		IdleConnTimeout:        idleConnectionTimeout,
 		MaxConnsPerHost:        limit,
@@ -92,6 +86,10 @@
 // Close closes idle connections. Calls in progress are not affected.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// ProcessEnded reports whether the process of the upstream has ended, as opposed to a call or a connection that failed. It
+// watches the process for 100 ms at most, and returns false if it then goes on or ctx is done.
+func (c *Client) ProcessEnded(ctx context.Context) bool { return c.connections.processEnded(ctx) }
+
 // Do sends the call to the upstream and returns when the header of the answer has arrived or the call has failed. The
 // deadline and the end of ctx cancel the call, also while the answer's body is read. The caller of Do must close the
 // body of an answer.
--- a/baobabupstream/connection.go
+++ b/baobabupstream/connection.go
@@ -15,6 +15,8 @@
 // A connection counts the bytes handed to the network, so that it is certain whether a request was sent.
 type connection struct {
 	net.Conn
+	onClose       func() // Called once.
+	closeOnce     sync.Once
 	mu            sync.Mutex
 	written       int64    // Includes all bytes of a failed write, of which an unknown number was sent.
 	writesStopped bool     // Write fails without sending anything.
@@ -39,6 +41,13 @@
 	return slices.Contains(c.recentCallIDs, id)
 }
 
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	c.closeOnce.Do(c.onClose)
+	return err
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(b []byte) (int, error) {
 	c.mu.Lock()
