quarantine: upstreams that crash together under a popular request count once

Cause: the page was in flight at each crash, no run of it succeeded between, and what is barred cannot run and clear itself.

Change: nodes remember which requests last succeeded on their upstream (2,048 of them, 16 bytes each, by a 64-bit hash) and say so with the report of a crash. Of a request that had succeeded within the quarantine time, crashes within a second count as one. A request that crashes upstreams never succeeded, so it is barred as before; one that had is barred once upstreams that are back crash again. Old releases ignore the new field of the report.

TestCrashesForAnotherReason fails with earlier successes ignored: "popular, three at once: refused = true".

--- a/baobabnode/membershipcontroller_test.go
+++ b/baobabnode/membershipcontroller_test.go
@@ -90,7 +90,7 @@
 	informed, restarted := newTestMembershipController(t, "n1", 1), newTestMembershipController(t, "n2", 1)
 	f := quarantine.NewFingerprint("stock", "GET", "/levels", nil)
 	for _, u := range []string{"u1", "u2"} {
-		informed.quarantine.list.Report(time.Now(), f, u, "call-"+u)
+		informed.quarantine.list.Report(time.Now(), quarantine.Request(0), f, u, "call-"+u)
 	}
 	address := informed.members.selfRecord().PeerAddress()
 	if err := restarted.exchange(t.Context(), address, false); err != nil {
--- a/baobabnode/quarantinecontroller.go
+++ b/baobabnode/quarantinecontroller.go
@@ -94,23 +94,24 @@
 }
 
 // reportCrash records and broadcasts that the upstream crashed while it ran a request.
-func (c *quarantineController) reportCrash(now time.Time, r *admissionRequest, u *blackboard.Upstream) {
-	report, added := c.list.Report(now, fingerprintOf(r), u.ID(), r.call.ID())
+func (c *quarantineController) reportCrash(failedAt time.Time, r *admissionRequest, u *blackboard.Upstream) {
+	report, added := c.list.Report(failedAt, requestOf(r), fingerprintOf(r), u.ID(), r.call.ID())
 	c.counters.crashed.Inc()
 	if !added {
 		return
 	}
 	c.logger.Warn("upstream crashed while it ran a request", "upstream", u.ID(), "call", r.call.ID(),
-		"fingerprint", report.Fingerprint())
+		"fingerprint", report.Fingerprint(), "succeeded_before", report.Succeeded())
 	c.broadcaster.broadcast(&wire.Broadcast{Update: &wire.Broadcast_Quarantine{Quarantine: &wire.QuarantineUpdate{
 		Reports: []*wire.CrashReport{{
-			Fingerprint: report.Fingerprint().Bytes(), UpstreamId: report.UpstreamID(), CallId: report.CallID(), Crash: report.Crash(),
+			Fingerprint: report.Fingerprint().Bytes(), UpstreamId: report.UpstreamID(), CallId: report.CallID(), Crash: report.Crash(), Succeeded: report.Succeeded(),
 		}},
 	}}})
 }
 
-// reportSuccess clears a suspected request that ran without a crash, and broadcasts the clearance.
+// reportSuccess records a request that ran without a crash. It clears a suspected one and broadcasts the clearance.
 func (c *quarantineController) reportSuccess(now time.Time, r *admissionRequest, started time.Time) {
+	c.list.RecordSuccess(now, requestOf(r))
 	if c.list.Empty() {
 		return
 	}
@@ -142,6 +143,7 @@
 	for _, r := range c.list.Latest(now, reportsPerExchange) {
 		update.Reports = append(update.Reports, &wire.CrashReport{
 			Fingerprint: r.Fingerprint().Bytes(), UpstreamId: r.UpstreamID(), CallId: r.CallID(), AgeMs: r.Age(now).Milliseconds(), Crash: r.Crash(),
+			Succeeded: r.Succeeded(),
 		})
 	}
 	return update
@@ -158,7 +160,8 @@
 			continue
 		}
 		at := now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond)
-		reports = append(reports, quarantine.NewReport(f, r.GetUpstreamId(), r.GetCallId(), at).WithCrash(r.GetCrash()))
+		reports = append(reports, quarantine.NewReport(f, r.GetUpstreamId(), r.GetCallId(), at).WithCrash(r.GetCrash()).
+			WithSucceeded(r.GetSucceeded()))
 	}
 	for _, r := range c.list.Merge(now, reports) {
 		c.decisions.write(now, "crash report received", "upstream", r.UpstreamID(), "call", r.CallID(),
@@ -178,3 +181,7 @@
 	body := sha256.Sum256(r.call.Body())
 	return quarantine.NewFingerprint(r.service, r.call.Method(), r.call.Target(), body[:])
 }
+
+func requestOf(r *admissionRequest) quarantine.Request {
+	return quarantine.NewRequest(r.service, r.call.Method(), r.call.Target(), r.call.Body())
+}
--- a/baobabquarantine/list.go
+++ b/baobabquarantine/list.go
@@ -24,6 +24,8 @@
 	rule   atomic.Pointer[Rule]
 	shards [shardCount]shard
 
+	successes successes // On the upstream beside this node.
+
 	mu   sync.Mutex
 	last upstreamCrash // Guarded by mu; the last crash that this node observed.
 }
@@ -71,11 +73,16 @@
 
 func (l *List) shard(f Fingerprint) *shard { return &l.shards[f[0]%shardCount] }
 
+// RecordSuccess records that a request ran without a crash on the upstream beside this node.
+func (l *List) RecordSuccess(now time.Time, r Request) { l.successes.record(now, r) }
+
 // Report records a crash observed by this node, at which a call failed. It returns the report to broadcast and whether it
 // was new. Equal requests that fail on one upstream within crashTime were in flight at the same crash and count once.
-func (l *List) Report(failedAt time.Time, f Fingerprint, upstreamID, callID string) (Report, bool) {
-	r := NewReport(f, upstreamID, callID, failedAt).WithCrash(l.crashID(failedAt, upstreamID))
-	return r, l.shard(f).add(failedAt, *l.rule.Load(), r)
+func (l *List) Report(failedAt time.Time, r Request, f Fingerprint, upstreamID, callID string) (Report, bool) {
+	rule := *l.rule.Load()
+	report := NewReport(f, upstreamID, callID, failedAt).WithCrash(l.crashID(failedAt, upstreamID)).
+		WithSucceeded(l.successes.since(failedAt.Add(-rule.duration), r))
+	return report, l.shard(f).add(failedAt, rule, report)
 }
 
 // crashID returns the id of the crash to which a call belongs that failed at a time. Calls are reported in any order.
--- a/baobabquarantine/list_test.go
+++ b/baobabquarantine/list_test.go
@@ -43,7 +43,7 @@
 	for _, test := range tests {
 		l := NewList()
 		for _, c := range test.crashes {
-			l.Report(testTime(c.at), testFingerprint(1), c.upstream, c.call)
+			l.Report(testTime(c.at), Request(0), testFingerprint(1), c.upstream, c.call)
 		}
 		remaining, refused := l.Refused(testTime(test.at), testFingerprint(1))
 		if remaining != time.Duration(test.remaining)*time.Second || refused != (test.remaining > 0) {
@@ -85,10 +85,10 @@
 // that evicts one in quarantine.
 func TestMemoryBound(t *testing.T) {
 	l := NewList(WithLimit(32))
-	l.Report(testTime(0), testFingerprint(0), "u", "c")
-	l.Report(testTime(0), testFingerprint(0), "v", "c")
+	l.Report(testTime(0), Request(0), testFingerprint(0), "u", "c")
+	l.Report(testTime(0), Request(0), testFingerprint(0), "v", "c")
 	for i := range 1000 {
-		l.Report(testTime(1), testFingerprint(i+1), "u", fmt.Sprint(i))
+		l.Report(testTime(1), Request(0), testFingerprint(i+1), "u", fmt.Sprint(i))
 	}
 	if n := l.Expire(testTime(1)); n > 32 {
 		t.Errorf("%d fingerprints kept, want at most 32", n)
@@ -97,7 +97,7 @@
 		t.Error("A quarantine was evicted by fingerprints that are not refused")
 	}
 	for i := range 1000 {
-		l.Report(testTime(1), testFingerprint(0), "u", fmt.Sprint(i))
+		l.Report(testTime(1), Request(0), testFingerprint(0), "u", fmt.Sprint(i))
 	}
 	if n := len(l.Reports(testTime(1))); n > 32*(defaultCrashThreshold+extraCrashes) {
 		t.Errorf("%d reports kept, want a bounded number", n)
@@ -168,7 +168,7 @@
 		wg.Go(func() {
 			for i := range 200 {
 				f := testFingerprint(i % 20)
-				r, _ := l.Report(testTime(i), f, fmt.Sprint(n), fmt.Sprint(i))
+				r, _ := l.Report(testTime(i), Request(0), f, fmt.Sprint(n), fmt.Sprint(i))
 				l.Merge(testTime(i), []Report{r})
 				l.Refused(testTime(i), f)
 				l.Configure(NewRule(1+n%3, time.Minute))
@@ -196,11 +196,11 @@
 		{"run started between", 15, false},
 	} {
 		l := NewList()
-		l.Report(testTime(10), f, "u1", "c1")
+		l.Report(testTime(10), Request(0), f, "u1", "c1")
 		if test.started != 0 {
 			l.Clear(testTime(19), f, testTime(test.started))
 		}
-		l.Report(testTime(20), f, "u2", "c2")
+		l.Report(testTime(20), Request(0), f, "u2", "c2")
 		l.Merge(testTime(21), []Report{NewReport(f, "u1", "c1", testTime(10))})
 		if _, refused := l.Refused(testTime(22), f); refused != test.refused {
 			t.Errorf("%s: Refused = %t, want %t", test.name, refused, test.refused)
@@ -227,7 +227,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			observer, other := NewList(), NewList()
 			for i, ms := range c.times {
-				if r, added := observer.Report(at(ms), f, "u", fmt.Sprint(i)); added {
+				if r, added := observer.Report(at(ms), Request(0), f, "u", fmt.Sprint(i)); added {
 					other.Merge(at(ms+200), []Report{r})
 				}
 			}
@@ -242,8 +242,8 @@
 		})
 	}
 	observer := NewList()
-	observer.Report(at(0), f, "u", "1")
-	observer.Report(at(10), f, "v", "2")
+	observer.Report(at(0), Request(0), f, "u", "1")
+	observer.Report(at(10), Request(0), f, "v", "2")
 	if _, refused := observer.Refused(at(20), f); !refused {
 		t.Error("two upstreams crashed and the request is not refused")
 	}
@@ -256,8 +256,8 @@
 	if d := first.Digest(testTime(0)); d != 0 {
 		t.Errorf("digest of an empty list = %d, want 0", d)
 	}
-	first.Report(testTime(0), testFingerprint(1), "u", "c")
-	first.Report(testTime(1), testFingerprint(2), "v", "d")
+	first.Report(testTime(0), Request(0), testFingerprint(1), "u", "c")
+	first.Report(testTime(1), Request(0), testFingerprint(2), "v", "d")
 	second.Merge(testTime(3), []Report{NewReport(testFingerprint(2), "v", "d", testTime(3))})
 	if first.Digest(testTime(3)) == second.Digest(testTime(3)) {
 		t.Error("digests are equal where one list lacks a crash")
@@ -270,3 +270,72 @@
 		t.Errorf("latest crash = %v, want that of v", latest)
 	}
 }
+
+// TestCrashesForAnotherReason guards against a popular request that is refused everywhere because several upstreams crashed
+// at the same time while they ran it, and against letting a request go on that crashes upstreams although it had succeeded
+// before.
+func TestCrashesForAnotherReason(t *testing.T) {
+	at := func(ms int) time.Time { return testEpoch.Add(time.Duration(ms) * time.Millisecond) }
+	request, f := NewRequest("quotes", "GET", "/today", nil), NewFingerprint("quotes", "GET", "/today", nil)
+	other := NewRequest("quotes", "GET", "/yesterday", nil)
+	for _, c := range []struct {
+		name     string
+		success  int     // Time in ms of the last run without a crash at the first upstream; 0: none.
+		of       Request // That ran then.
+		crashes  []int   // Upstream i crashes at crashes[i].
+		refused  bool
+		followed bool // A run without a crash follows, and one more crash.
+	}{
+		{name: "popular, three at once", success: 90_000, of: request, crashes: []int{100_000, 100_010, 100_900}},
+		{name: "popular, at once and a success, then another", success: 90_000, of: request, crashes: []int{100_000, 100_010}, followed: true},
+		{name: "popular, again after they are back", success: 90_000, of: request, crashes: []int{100_000, 100_010, 102_000}, refused: true},
+		{name: "popular long ago", success: 30_000, of: request, crashes: []int{100_000, 100_010}, refused: true},
+		{name: "another one is popular", success: 90_000, of: other, crashes: []int{100_000, 100_010}, refused: true},
+		{name: "never succeeded", crashes: []int{100_000, 100_010}, refused: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			observers, last := []*List{NewList(), NewList(), NewList()}, 0
+			if c.success > 0 {
+				observers[0].RecordSuccess(at(c.success), c.of)
+			}
+			crash := func(i, ms int) {
+				last = ms
+				r, _ := observers[i].Report(at(ms), request, f, fmt.Sprint("u", i), fmt.Sprint(ms))
+				for _, o := range observers {
+					o.Merge(at(ms), []Report{NewReport(f, r.UpstreamID(), r.CallID(), r.CrashedAt()).WithCrash(r.Crash()).WithSucceeded(r.Succeeded())})
+				}
+			}
+			for i, ms := range c.crashes {
+				crash(i, ms)
+			}
+			if c.followed {
+				for _, o := range observers {
+					o.Clear(at(last+3000), f, at(last+2000))
+				}
+				crash(0, last+5000)
+			}
+			for i, o := range observers {
+				if _, refused := o.Refused(at(last+1), f); refused != c.refused {
+					t.Errorf("node %d: refused = %t, want %t", i, refused, c.refused)
+				}
+			}
+		})
+	}
+}
+
+// TestSuccessesAreBounded guards against memory that grows with the number of requests, and against a request that is
+// taken for another one.
+func TestSuccessesAreBounded(t *testing.T) {
+	var s successes
+	for i := range 10 * successSlots {
+		s.record(testTime(1), NewRequest("quotes", "GET", fmt.Sprint("/", i), nil))
+	}
+	r := NewRequest("quotes", "GET", "/a", []byte("b"))
+	if s.since(testTime(0), r) {
+		t.Error("a request that did not run has succeeded")
+	}
+	s.record(testTime(1), r)
+	if !s.since(testTime(0), r) || s.since(testTime(1), r) || s.since(testTime(0), NewRequest("quotes", "GET", "/ab", nil)) {
+		t.Error("the last success is not remembered, or is that of another request")
+	}
+}
--- a/baobabquarantine/report.go
+++ b/baobabquarantine/report.go
@@ -16,6 +16,7 @@
 	callID      string
 	crash       uint64    // Identifies the crash of the upstream; 0: each call counts as a crash of its own.
 	crashedAt   time.Time // By the local clock.
+	succeeded   bool      // The request had run without a crash on that upstream shortly before.
 }
 
 // NewReport returns a report of a crash at a time of the local clock. Peers send the age of a crash instead of its
@@ -30,6 +31,15 @@
 	return r
 }
 
+// WithSucceeded returns the report of a request that had run without a crash on that upstream shortly before.
+func (r Report) WithSucceeded(succeeded bool) Report {
+	r.succeeded = succeeded
+	return r
+}
+
+// Succeeded reports whether the request had run without a crash on that upstream shortly before.
+func (r Report) Succeeded() bool { return r.succeeded }
+
 // Crash returns the id of the crash, or 0.
 func (r Report) Crash() uint64 { return r.crash }
 
@@ -56,6 +66,7 @@
 
 // mergeCrash takes over the id of the crash from another report of it. The lower id wins, so that all nodes keep the same.
 func (r *Report) mergeCrash(o Report) {
+	r.succeeded = r.succeeded || o.succeeded
 	if o.crash != 0 && (r.crash == 0 || o.crash < r.crash) {
 		r.crash = o.crash
 	}
--- a/baobabquarantine/rule.go
+++ b/baobabquarantine/rule.go
@@ -1,8 +1,14 @@
 package baobabquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
+	// commonCauseTime is how far apart upstreams crash that fail for one reason other than the request, for example with
+	// their rack. They take longer to come back.
+	commonCauseTime       = time.Second
 	defaultCrashThreshold = 2
 	defaultDuration       = time.Minute
 )
@@ -32,10 +38,26 @@
 // quarantineEnd returns the end of the latest quarantine caused by the crashes, or zero when there is none. The crashes
 // must be sorted by time.
 func (r Rule) quarantineEnd(crashes []Report) time.Time {
-	for i := len(crashes) - 1; i >= r.crashThreshold-1; i-- {
-		if crashes[i].crashedAt.Sub(crashes[i-r.crashThreshold+1].crashedAt) <= r.duration {
-			return crashes[i].crashedAt.Add(r.duration)
+	times := distinctCrashes(crashes)
+	for i := len(times) - 1; i >= r.crashThreshold-1; i-- {
+		if times[i].Sub(times[i-r.crashThreshold+1]) <= r.duration {
+			return times[i].Add(r.duration)
 		}
 	}
 	return time.Time{}
 }
+
+// distinctCrashes returns the times of the crashes that count. Where the request had succeeded shortly before, upstreams that
+// crash within commonCauseTime count once: a request that many callers send is in flight at most of them. The crashes must
+// be sorted by time.
+func distinctCrashes(crashes []Report) []time.Time {
+	succeeded := slices.ContainsFunc(crashes, func(r Report) bool { return r.succeeded })
+	var times []time.Time
+	for _, r := range crashes {
+		if n := len(times); succeeded && n > 0 && r.crashedAt.Sub(times[n-1]) < commonCauseTime {
+			continue
+		}
+		times = append(times, r.crashedAt)
+	}
+	return times
+}
