--- a/baobabconfiguration/resource.go
+++ b/baobabconfiguration/resource.go
@@ -78,8 +78,11 @@
 	return r, nil
 }
 
+// ValidName reports whether a resource can have the name.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
 func checkName(kind Kind, name string) error {
-	if namePattern.MatchString(name) {
+	if ValidName(name) {
 		return nil
 	}
 	return newError("parse "+string(kind), ErrorInvalid,
--- a/baobabconfiguration/validate.go
+++ b/baobabconfiguration/validate.go
@@ -20,7 +20,7 @@
 )
 
 var (
-	hostPattern   = regexp.MustCompile(`^([a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?)?$`)
+	hostPattern   = regexp.MustCompile(`^([a-z0-9_]([a-z0-9._-]{0,251}[a-z0-9_])?)?$`)
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,32}$`)
 )
 
--- a/baobabconfiguration/view.go
+++ b/baobabconfiguration/view.go
@@ -84,7 +84,7 @@
 	if !isCleanPath(path) {
 		return Route{}, Policy{}, false
 	}
-	e := v.index.match(normalizeHost(host), path, method)
+	e := v.index.match(NormalizeHost(host), path, method)
 	if e == nil {
 		return Route{}, Policy{}, false
 	}
@@ -107,8 +107,8 @@
 	return true
 }
 
-// normalizeHost returns the host in lower case, without port and trailing dot.
-func normalizeHost(host string) string {
+// NormalizeHost returns the host in lower case, without port and trailing dot.
+func NormalizeHost(host string) string {
 	if strings.Contains(host, ":") {
 		if h, _, err := net.SplitHostPort(host); err == nil {
 			host = h
