caller: answers kept for callers of HTTP/1.0 use a limited part of the memory

Report of operators: a faulty upstream sends bytes without end, in a head or a body; the VM that called it runs out of memory.

Shown: TestEndlessAnswers, 60 callers at once and real processes, with the limits of the deployments. Where they speak HTTP/1.0 the node beside the upstream uses 766 MiB (chunks) and 525 MiB (a body without a length); the smallest VM has 184 MiB. The eight other kinds of answers take 44 MiB at most at either node.

Cause: HTTP/1.0 has no chunks, so such an answer is read completely before it is sent: up to max_body_size for each call, 64 MiB in the deployments, in a buffer that doubles, with no limit for all calls.

Change: such answers are kept in pieces for which memory is reserved, a quarter of body_memory for all and a quarter of that for one. A truncated answer still never looks complete (TestAnswerBuffer).

--- a/baobabcall/bodymemory.go
+++ b/baobabcall/bodymemory.go
@@ -12,6 +12,14 @@
 // NewBodyMemory returns a BodyMemory of limit bytes.
 func NewBodyMemory(limit int64) *BodyMemory { return &BodyMemory{limit: limit} }
 
+// Limit returns the number of bytes that can be reserved, or 0 without a limit.
+func (m *BodyMemory) Limit() int64 {
+	if m == nil {
+		return 0
+	}
+	return m.limit
+}
+
 // Reserve reserves n bytes and reports whether they were available. Reserved bytes must be released.
 func (m *BodyMemory) Reserve(n int64) bool {
 	if m == nil || n <= 0 {
--- a/baobabcaller/answer.go
+++ b/baobabcaller/answer.go
@@ -1,7 +1,6 @@
 package baobabcaller
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -67,11 +66,12 @@
 }
 
 // writeBuffered reads the complete answer before it sends anything: HTTP/1.0 has no chunked encoding, so a caller could
-// not tell a truncated answer of unknown length from a complete one.
+// not tell a truncated answer of unknown length from a complete one. Answers without end must not take the memory of other
+// calls, so the memory for all such answers is limited.
 func (h *Handler) writeBuffered(w http.ResponseWriter, conn *pipelinedConn, a *call.Answer) {
-	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(a.Body(), h.maxBodyBytes+1))
-	if err != nil || n > h.maxBodyBytes {
+	b := &answerBuffer{memory: h.answerMemory, limit: min(h.maxBodyBytes, h.answerMemory.Limit()/maxAnswerShare)}
+	defer b.release()
+	if err := b.readFrom(a.Body()); err != nil {
 		h.metrics.truncated.Inc()
 		id := w.Header().Get(h.headerNames.Name(call.FieldCallID))
 		clear(w.Header())
@@ -80,9 +80,13 @@
 			"answer is incomplete or too large for HTTP/1.0"))
 		return
 	}
-	w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	w.Header().Set("Content-Length", strconv.FormatInt(b.size, 10))
 	h.writeAnswerHeader(w, conn, a.Status())
-	_, _ = w.Write(b.Bytes())
+	for _, p := range b.pieces {
+		if _, err := w.Write(p); err != nil {
+			return
+		}
+	}
 }
 
 // extendWriteDeadline gives the caller writeTimeout to receive the next write. A connection keeps its deadline, so it
--- a/baobabcaller/handler.go
+++ b/baobabcaller/handler.go
@@ -30,6 +30,7 @@
 	maxBodyBytes      int64            // Also the limit of answers to HTTP/1.0 callers.
 	maxHeaderBytes    int              // Sum of names and values with their separators.
 	bodyMemory        *call.BodyMemory // Limits the bodies of all calls in progress; nil means no limit.
+	answerMemory      *call.BodyMemory // Limits the answers that are buffered.
 	maxCalls          int64            // Calls in progress; 0 means no limit.
 	bodyTimeout       time.Duration    // Timeout for receiving the request body.
 	writeTimeout      time.Duration    // Timeout for each write of the answer.
@@ -56,7 +57,7 @@
 func WithMaxBodyBytes(n int64) Option { return func(h *Handler) { h.maxBodyBytes = n } }
 
 // WithBodyMemory limits the total size of the bodies of all calls in progress. Calls whose body exceeds what is left are
-// refused as queue_full.
+// refused as queue_full. Answers that are kept for HTTP/1.0 callers may use a quarter of it in addition.
 func WithBodyMemory(m *call.BodyMemory) Option { return func(h *Handler) { h.bodyMemory = m } }
 
 // WithMaxHeaderBytes sets the maximum total size of header names and values with their separators.
@@ -136,6 +137,7 @@
 	for _, o := range options {
 		o(h)
 	}
+	h.answerMemory = newAnswerMemory(h.bodyMemory)
 	if h.metrics == nil {
 		h.metrics = newHandlerMetrics(metrics.NewSet())
 	}
