node: a starting node waits a second at most for its departure

The wait was start_patience, 3 s by default. While the platform is away, the upstream of a restarted node got no calls from other nodes for that long. Found by reading; the deployments set 500 ms, for which nothing changes.

--- a/baobabnode/departurecontroller.go
+++ b/baobabnode/departurecontroller.go
@@ -22,6 +22,8 @@
 	departurePrefix = "departure/"
 	// departureTimeout bounds one request for the row.
 	departureTimeout = time.Second
+	// maxRestoreWait bounds how long announcements have no effect while the row cannot be read.
+	maxRestoreWait = time.Second
 	// departureAckWait bounds how long the response to an upstream that departs waits for the row. Upstreams wait a
 	// second for the response.
 	departureAckWait = 600 * time.Millisecond
@@ -41,7 +43,7 @@
 	registry    *upstream.Registry
 	domain      string        // Failure domain of this node.
 	node        string        // Id of this node.
-	restoreWait time.Duration // How long announcements have no effect while the row cannot be read.
+	restoreWait time.Duration // At most maxRestoreWait.
 	logger      *log.Logger
 	counters    departureCounters
 
@@ -62,7 +64,7 @@
 		return set.NewCounter(fmt.Sprintf("baobab_upstream_departures_total{result=%q}", result))
 	}
 	return &departureController{
-		store: store, registry: registry, domain: domain, node: node, restoreWait: restoreWait, logger: logger,
+		store: store, registry: registry, domain: domain, node: node, restoreWait: min(restoreWait, maxRestoreWait), logger: logger,
 		counters: departureCounters{restored: counter("restored"), recorded: counter("recorded"), failed: counter("failed")},
 		retry:    make(chan struct{}, 1), writing: make(chan struct{}, 1),
 	}
