peer: a connection that cannot be accepted does not end the node

Change: errors that concern one connection, and a lack of descriptors or memory, are followed by a pause of 5 ms to 1 s and the next attempt. Others still end the node, because its peers could not reach it any more. The other listeners are net/http's, which does so.

TestAcceptFailure failed before: "Serve ended before 3 more connections". No load was played that runs out of descriptors.

--- a/baobabpeer/transport.go
+++ b/baobabpeer/transport.go
@@ -109,18 +109,19 @@
 	t.listeners[n] = struct{}{}
 	t.mu.Unlock()
 	defer t.closeListener(n)
+	var retry acceptRetry
 	for {
 		c, err := n.Accept()
 		if err != nil {
 			if t.context.Err() != nil {
 				return nil
 			}
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				continue
+			if !retry.wait(t.context, err) {
+				return newError("serve", KindUnreachable, err)
 			}
-			return newError("serve", KindUnreachable, err)
+			continue
 		}
+		retry.reset()
 		if !t.admitConn(c) {
 			t.counters.countRefused(refusedAcceptedLinks)
 			_ = c.Close()
