upstream: the departure before the last one keeps its effect

The registry keeps the departures of the last two processes; the platform's row has the last one.

TestSuccessiveDepartures failed before: "a late announcement of upstream 1 is accepted".

--- a/baobabupstream/departure_test.go
+++ b/baobabupstream/departure_test.go
@@ -100,3 +100,33 @@
 		})
 	}
 }
+
+// TestSuccessiveDepartures guards against an upstream that left and comes back with a late announcement, because the one
+// after it drains as well.
+func TestSuccessiveDepartures(t *testing.T) {
+	r, now := NewRegistry(), time.UnixMilli(1_800_000_000_000)
+	announce := func(id string, sequence uint64, s State) error {
+		a, err := NewAnnouncement(id, "quotes", "127.0.0.1:"+id, 6, 8, WithState(s), WithSequence(sequence), WithStart(now))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Announce(now.Add(time.Second), a)
+	}
+	for _, id := range []string{"1", "2"} {
+		if err := announce(id, 1, StateReady); err != nil {
+			t.Fatal(err)
+		}
+		if id == "1" {
+			r.Leave(now.Add(time.Second), id)
+			continue
+		}
+		if err := announce(id, 2, StateDraining); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range []string{"1", "2"} {
+		if err := announce(id, 1, StateReady); err == nil {
+			t.Errorf("a late announcement of upstream %s is accepted", id)
+		}
+	}
+}
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -24,6 +24,7 @@
 	state               State // Empty: no upstream is announced.
 	lastHeartbeatAt     time.Time
 	departure           Departure // Last upstream that drained or left; its delayed heartbeats are refused.
+	earlierDeparture    Departure // Of another process, before departure.
 	restoring           bool      // The departure that an earlier process of this node recorded is not known yet.
 	excluded            excludedProcess
 	supersededRefusedAt time.Time // First refusal of a superseded process since lastHeartbeatAt.
@@ -79,8 +80,10 @@
 	const operation = "announce upstream"
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if kind := r.departure.excludes(a); kind != "" && !r.isAliveAfterDeparture(now, a) {
-		return newError(operation, kind, "upstream %s drains or has left", a.upstreamID)
+	for _, d := range []Departure{r.departure, r.earlierDeparture} {
+		if kind := d.excludes(a); kind != "" && !r.isAliveAfterDeparture(now, d, a) {
+			return newError(operation, kind, "upstream %s drains or has left", a.upstreamID)
+		}
 	}
 	if r.isSuperseded(a) && !r.shouldReinstate(now) {
 		return newError(operation, KindGone, "upstream %s was replaced by a process that started later", a.upstreamID)
@@ -115,8 +118,8 @@
 // isAliveAfterDeparture reports whether an announcement that the departure excludes comes from a process that started
 // after it: its start differs from that of the departed process, and it keeps announcing itself. Its clock was set back
 // between the two.
-func (r *Registry) isAliveAfterDeparture(now time.Time, a Announcement) bool {
-	if a.startFromAge || a.startedAt.IsZero() || r.departure.startedAt.IsZero() || a.startedAt.Equal(r.departure.startedAt) {
+func (r *Registry) isAliveAfterDeparture(now time.Time, d Departure, a Announcement) bool {
+	if a.startFromAge || a.startedAt.IsZero() || d.startedAt.IsZero() || a.startedAt.Equal(d.startedAt) {
 		return false
 	}
 	first := r.excluded.first
@@ -223,7 +226,7 @@
 			if r.departure.upstreamID == upstreamID {
 				left = r.departure.left()
 			}
-			r.departure = left
+			r.setDeparture(left)
 		}
 		return false
 	}
@@ -231,7 +234,7 @@
 	if r.state == StateDraining && r.departure.sameProcess(left) {
 		left = r.departure.left()
 	}
-	r.departure = left
+	r.setDeparture(left)
 	r.remove()
 	return true
 }
@@ -248,12 +251,19 @@
 	same := r.departure.sameProcess(d)
 	switch {
 	case a.state == StateDraining && !same:
-		r.departure = d
+		r.setDeparture(d)
 	case a.state.AcceptsCalls() && same:
 		r.departure = Departure{}
 	}
 }
 
+func (r *Registry) setDeparture(d Departure) {
+	if !r.departure.sameProcess(d) {
+		r.earlierDeparture = r.departure
+	}
+	r.departure = d
+}
+
 // Departure returns the last departure that this node has observed or restored; it is zero if there is none.
 func (r *Registry) Departure() Departure {
 	r.mu.Lock()
