node: a departure that could not be read is read again once a version is in force

Without the platform a starting node opens after at most a second and reads the row later, with pauses of up to 4 s. When the platform is back, a version comes into force, so the row is read at once and not seconds after it: until then a late heartbeat brings an upstream back that has left. Found by reading.

--- a/baobabnode/departurecontroller.go
+++ b/baobabnode/departurecontroller.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	platform "github.com/baobabdale/baobabdale/baobabplatform"
 	upstream "github.com/baobabdale/baobabdale/baobabupstream"
 )
@@ -39,6 +40,7 @@
 // A departureController keeps the last departure of the upstream on this VM in the platform, because it must outlive all
 // processes: without it, an announcement from before the departure that arrives late brings the upstream back.
 type departureController struct {
+	board       *blackboard.Board
 	store       platform.Store
 	registry    *upstream.Registry
 	domain      string        // Failure domain of this node.
@@ -58,13 +60,13 @@
 	restored, recorded, failed *metrics.Counter
 }
 
-func newDepartureController(store platform.Store, registry *upstream.Registry, domain, node string, restoreWait time.Duration,
+func newDepartureController(board *blackboard.Board, store platform.Store, registry *upstream.Registry, domain, node string, restoreWait time.Duration,
 	logger *log.Logger, set *metrics.Set) *departureController {
 	counter := func(result string) *metrics.Counter {
 		return set.NewCounter(fmt.Sprintf("baobab_upstream_departures_total{result=%q}", result))
 	}
 	return &departureController{
-		store: store, registry: registry, domain: domain, node: node, restoreWait: min(restoreWait, maxRestoreWait), logger: logger,
+		board: board, store: store, registry: registry, domain: domain, node: node, restoreWait: min(restoreWait, maxRestoreWait), logger: logger,
 		counters: departureCounters{restored: counter("restored"), recorded: counter("recorded"), failed: counter("failed")},
 		retry:    make(chan struct{}, 1), writing: make(chan struct{}, 1),
 	}
@@ -98,9 +100,11 @@
 	}
 }
 
-// repeat calls f, with growing pauses, until it succeeds. It returns false if ctx is done first.
+// repeat calls f, with growing pauses, until it succeeds. When a version comes into force, the platform may be back, and the
+// next call follows at once. It returns false if ctx is done first.
 func (c *departureController) repeat(ctx context.Context, f func(context.Context) error) bool {
 	for pause := startBackoffMin; ; pause = min(2*pause, startBackoffMax) {
+		changed := c.board.ActiveConfigurationChanged()
 		attempt, cancel := context.WithTimeout(ctx, departureTimeout)
 		err := f(attempt)
 		cancel()
@@ -108,8 +112,11 @@
 			return true
 		}
 		c.logger.Warn("departure not read or written", "err", err)
-		if !sleep(ctx, pause+rand.N(pause)) {
+		select {
+		case <-ctx.Done():
 			return false
+		case <-changed:
+		case <-time.After(pause + rand.N(pause)):
 		}
 	}
 }
--- a/baobabnode/departurecontroller_test.go
+++ b/baobabnode/departurecontroller_test.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	platform "github.com/baobabdale/baobabdale/baobabplatform"
 	upstream "github.com/baobabdale/baobabdale/baobabupstream"
 )
@@ -19,7 +20,7 @@
 // newTestDepartures returns the departures of a process of node n in failure domain a, and its registry.
 func newTestDepartures(store platform.Store, restoreWait time.Duration) (*departureController, *upstream.Registry) {
 	r := upstream.NewRegistry(upstream.WithRestore())
-	return newDepartureController(store, r, "a", "n", restoreWait, log.New(io.Discard), metrics.NewSet()), r
+	return newDepartureController(blackboard.NewBoard(), store, r, "a", "n", restoreWait, log.New(io.Discard), metrics.NewSet()), r
 }
 
 func testAnnouncement(t *testing.T, born, sequence int, s upstream.State) upstream.Announcement {
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -230,8 +230,8 @@
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
 		clientOptions: n.overrides.clientOptions, probes: s.Upstream().Probes(),
 	}
-	n.departures = newDepartureController(n.store, n.registry, s.Node().FailureDomain(), s.Node().ID(), s.Platform().StartWait(),
-		n.logger, n.metrics)
+	n.departures = newDepartureController(n.board, n.store, n.registry, s.Node().FailureDomain(), s.Node().ID(),
+		s.Platform().StartWait(), n.logger, n.metrics)
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, registry: n.registry, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
 		decisions: n.decisionLog, dependencies: n.dependencies, rollouts: n.rollouts,
