upstream: a process that ended is noticed beside connections that nobody reads

While an answer waits for a slow caller, nobody reads its connection, so its end goes unnoticed, and the crash of another call counted as a lost answer: a request that crashes upstreams would not have been barred until that caller's deadline.

Each lost answer now takes one connection more.

TestProcessEnded, "ends while answers wait for their callers", failed before: "processEnded = false, want true".

--- a/baobabupstream/connectionset.go
+++ b/baobabupstream/connectionset.go
@@ -58,28 +58,41 @@
 	return s.open, s.changed
 }
 
-// processEnded reports whether the process at the address has ended: no connection to it is open and a new one is refused.
-// It returns false at the end of the window, or when ctx is done.
+// processEnded reports whether the process at the address has ended: it refuses a connection, and none is open. At the end
+// of the window the refusal suffices, because the end of a connection that nobody reads goes unnoticed. processEnded
+// returns false if ctx is done first.
 func (s *connectionSet) processEnded(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, s.window)
+	window, cancel := context.WithTimeout(ctx, s.window)
 	defer cancel()
 	for {
 		open, changed := s.state()
-		if open == 0 && s.refuses(ctx) {
+		if open == 0 && s.refuses(window) {
 			return true
 		}
 		if open == 0 {
 			changed = nil
 		}
 		select {
-		case <-ctx.Done():
-			return false
+		case <-window.Done():
+			return ctx.Err() == nil && s.refusesNow(ctx)
 		case <-changed:
 		case <-after(open == 0, redialPause):
 		}
 	}
 }
 
+// refusesNow reports whether the address refuses a connection.
+func (s *connectionSet) refusesNow(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, endWindow)
+	defer cancel()
+	conn, err := s.dial(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // after returns a channel that receives a value after d if the condition holds, and never otherwise.
 func after(condition bool, d time.Duration) <-chan time.Time {
 	if !condition {
--- a/baobabupstream/connectionset_test.go
+++ b/baobabupstream/connectionset_test.go
@@ -65,20 +65,22 @@
 // TestProcessEnded guards against taking a lost answer for a crash of the upstream, and a crash for a lost answer.
 func TestProcessEnded(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		conns int // Open before.
-		reset bool
-		act   func(p *testProcess)
-		ended bool
+		name   string
+		conns  int // Open before.
+		reset  bool
+		act    func(p *testProcess)
+		ended  bool
+		unread bool // Nobody reads the connections.
 	}{
-		{"ends with its connections", 3, false, func(p *testProcess) { p.end(0) }, true},
-		{"ends without connections", 0, false, func(p *testProcess) { p.end(0) }, true},
-		{"connections first, then the listener", 3, false, func(p *testProcess) { p.end(20 * time.Millisecond) }, true},
-		{"only connection first, then the listener", 1, false, func(p *testProcess) { p.end(30 * time.Millisecond) }, true},
-		{"one connection of three", 3, false, func(p *testProcess) { p.closeConnections(1) }, false},
-		{"its only connection", 1, false, func(p *testProcess) { p.closeConnections(1) }, false},
-		{"all connections", 3, false, func(p *testProcess) { p.closeConnections(3) }, false},
-		{"takes no more connections", 0, true, func(*testProcess) {}, false},
+		{"ends with its connections", 3, false, func(p *testProcess) { p.end(0) }, true, false},
+		{"ends without connections", 0, false, func(p *testProcess) { p.end(0) }, true, false},
+		{"connections first, then the listener", 3, false, func(p *testProcess) { p.end(20 * time.Millisecond) }, true, false},
+		{"only connection first, then the listener", 1, false, func(p *testProcess) { p.end(30 * time.Millisecond) }, true, false},
+		{"one connection of three", 3, false, func(p *testProcess) { p.closeConnections(1) }, false, false},
+		{"its only connection", 1, false, func(p *testProcess) { p.closeConnections(1) }, false, false},
+		{"all connections", 3, false, func(p *testProcess) { p.closeConnections(3) }, false, false},
+		{"takes no more connections", 0, true, func(*testProcess) {}, false, false},
+		{"ends while answers wait for their callers", 3, false, func(p *testProcess) { p.end(0) }, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -89,6 +91,10 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				if c.unread {
+					defer func() { _ = conn.Close() }()
+					continue
+				}
 				go func() { // As http.Transport does, which reads idle connections, too.
 					_, _ = io.Copy(io.Discard, conn)
 					_ = conn.Close()
@@ -105,7 +111,7 @@
 					t.Fatal("the connections are not accepted")
 				}
 			}
-			if s.window = 50 * time.Millisecond; c.ended {
+			if s.window = 50 * time.Millisecond; c.ended && !c.unread {
 				s.window = 20 * time.Second
 			}
 			acted := make(chan struct{})
@@ -113,7 +119,7 @@
 				defer close(acted)
 				c.act(p)
 			}()
-			if !c.ended {
+			if !c.ended || c.unread {
 				<-acted
 			}
 			ended := s.processEnded(context.Background())
