--- a/baobabproof/endless_test.go
+++ b/baobabproof/endless_test.go
@@ -59,8 +59,14 @@
 				return sent.Load() > 0
 			})
 			var group sync.WaitGroup
+			began := time.Now()
 			for i := range callers {
-				group.Go(func() { readToTheEnd(ctx, []*baobabemulator.MeshNode{faulty, other}[i%2], c.version) })
+				group.Go(func() {
+					for time.Since(began) < callerPatience {
+						readToTheEnd(ctx, []*baobabemulator.MeshNode{faulty, other}[i%2], c.version)
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
 			}
 			served := 0
 			caller := baobabemulator.NewCaller("other")
