review: the grants of two quota coordinators add up

Case 12 breaks QUOTA: the coordinator of a tenant's quota is killed while the tenant becomes hot, and the nodes use its grants beside those of the next one.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,8 +24,9 @@
 
 // cases holds the function of each case by its name. The argument trouble is false if the case runs without its disruption.
 var cases = map[string]func(b *bed, trouble bool) (verdict, error){
-	"heartbeat": runHeartbeat,
-	"service":   runService,
+	"coordinator": runCoordinator,
+	"heartbeat":   runHeartbeat,
+	"service":     runService,
 }
 
 func main() {
