review: an acknowledged departure is lost with the nodes while the store is down

Case 14 breaks DRAIN: an upstream's leaving is acknowledged while the store is down, all nodes are killed, and a heartbeat that arrives late brings the upstream back.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -27,6 +27,7 @@
 	"coordinator": runCoordinator,
 	"heartbeat":   runHeartbeat,
 	"service":     runService,
+	"forgotten":   runForgotten,
 }
 
 func main() {
