review: taking away the last tenant opens all routes

Case 11 breaks CONFIG (revoke_strict): once the only tenant has been taken away, requests with its key, with an unknown key and without one run.

--- a/review/standin3/configuration.go
+++ b/review/standin3/configuration.go
@@ -4,7 +4,7 @@
 type configuration struct {
 	Version   string     `json:"version"`
 	Limits    limits     `json:"limits"`
-	Tenants   []tenant   `json:"tenants,omitempty"`
+	Tenants   []tenant   `json:"tenants,omitzero"` // Nil: the configuration has no such field.
 	Listeners []listener `json:"listeners"`
 	Clusters  []cluster  `json:"clusters"`
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -26,8 +26,8 @@
 var cases = map[string]func(b *bed, trouble bool) (verdict, error){
 	"coordinator": runCoordinator,
 	"heartbeat":   runHeartbeat,
+	"lastkey":     runLastKey,
 	"service":     runService,
-	"tenant":      runTenant,
 	"forgotten":   runForgotten,
 }
 
