--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/standin3 ] && [ -x target/baobabdale ] || exit 2
-exec target/standin3 -case coordinator -trouble=$trouble -record review/13/record.txt
+exec target/standin3 -case forgotten -trouble=$trouble -record review/13/record.txt
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -27,7 +27,7 @@
 	"coordinator": runCoordinator,
 	"heartbeat":   runHeartbeat,
 	"lastkey":     runLastKey,
-	"service":     runService,
+	"tenant":      runTenant,
 	"forgotten":   runForgotten,
 }
 
