configuration, platform: an empty list of accounts still requires keys

Cause: nodes required keys if the configuration in force had an account.

Evidence: "configuration in force" now has accounts and keys_required; with the code before it says accounts=0 keys_required=false on all three nodes 1 ms after the version was written, and the stand-in recorded runs without a tenant. Ruled out: the version was in force, and no account was found for the key.

Change: the resource authentication/required makes keys required without an account.

--- a/baobabaccount/directory_test.go
+++ b/baobabaccount/directory_test.go
@@ -18,7 +18,7 @@
 		}
 		list = append(list, a)
 	}
-	d := NewDirectory(list)
+	d := NewDirectory(list, false)
 	for _, c := range []struct {
 		credential call.Credential
 		want       string
--- a/baobabblackboard/activeconfiguration.go
+++ b/baobabblackboard/activeconfiguration.go
@@ -17,7 +17,7 @@
 
 // NewActiveConfiguration returns the configuration that is in force at this node since a time.
 func NewActiveConfiguration(s *configuration.Snapshot, v *configuration.View, since time.Time) *ActiveConfiguration {
-	return &ActiveConfiguration{snapshot: s, view: v, accounts: account.NewDirectory(v.Accounts()), activeSince: since}
+	return &ActiveConfiguration{snapshot: s, view: v, accounts: account.NewDirectory(v.Accounts(), v.RequiresKeys()), activeSince: since}
 }
 
 // Snapshot returns the snapshot of the whole version.
--- a/baobabcommand/arguments.go
+++ b/baobabcommand/arguments.go
@@ -9,20 +9,21 @@
 	Output    string        `arg:"--output" default:"text" placeholder:"FORMAT" help:"text or json"`
 	Timeout   time.Duration `arg:"--timeout" default:"30s" placeholder:"DURATION" help:"time allowed for one request, with all attempts at all nodes"`
 
-	Accept   *acceptCommand   `arg:"subcommand:accept" help:"make the edited configuration the next version"`
-	Account  *accountGroup    `arg:"subcommand:account" help:"set, delete, list and show client accounts"`
-	Apply    *applyCommand    `arg:"subcommand:apply" help:"set the resources in a JSON file or a folder of them"`
-	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare the edited configuration with the version in force"`
-	Label    *labelGroup      `arg:"subcommand:label" help:"set, delete and list labels of services, upstreams and accounts"`
-	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
-	Policy   *policyGroup     `arg:"subcommand:policy" help:"set, delete, list and show policies"`
-	Rollout  *rolloutGroup    `arg:"subcommand:rollout" help:"start, abort and show roll-outs of versions"`
-	Route    *routeGroup      `arg:"subcommand:route" help:"set, delete, list and show routes"`
-	Selector *selectorGroup   `arg:"subcommand:selector" help:"set, delete, list and show selectors"`
-	Service  *serviceGroup    `arg:"subcommand:service" help:"set, delete, list and show services"`
-	Settings *settingsCommand `arg:"subcommand:settings" help:"check the settings of a node"`
-	Status   *statusCommand   `arg:"subcommand:status" help:"show where the version is in force, and why it is not elsewhere"`
-	Watch    *watchCommand    `arg:"subcommand:watch" help:"show the status whenever it changes"`
+	Accept         *acceptCommand       `arg:"subcommand:accept" help:"make the edited configuration the next version"`
+	Account        *accountGroup        `arg:"subcommand:account" help:"set, delete, list and show client accounts"`
+	Authentication *authenticationGroup `arg:"subcommand:authentication" help:"require keys also while there is no account, or only while there is one"`
+	Apply          *applyCommand        `arg:"subcommand:apply" help:"set the resources in a JSON file or a folder of them"`
+	Diff           *diffCommand         `arg:"subcommand:diff" help:"compare the edited configuration with the version in force"`
+	Label          *labelGroup          `arg:"subcommand:label" help:"set, delete and list labels of services, upstreams and accounts"`
+	Node           *nodeCommand         `arg:"subcommand:node" help:"run a node"`
+	Policy         *policyGroup         `arg:"subcommand:policy" help:"set, delete, list and show policies"`
+	Rollout        *rolloutGroup        `arg:"subcommand:rollout" help:"start, abort and show roll-outs of versions"`
+	Route          *routeGroup          `arg:"subcommand:route" help:"set, delete, list and show routes"`
+	Selector       *selectorGroup       `arg:"subcommand:selector" help:"set, delete, list and show selectors"`
+	Service        *serviceGroup        `arg:"subcommand:service" help:"set, delete, list and show services"`
+	Settings       *settingsCommand     `arg:"subcommand:settings" help:"check the settings of a node"`
+	Status         *statusCommand       `arg:"subcommand:status" help:"show where the version is in force, and why it is not elsewhere"`
+	Watch          *watchCommand        `arg:"subcommand:watch" help:"show the status whenever it changes"`
 }
 
 // Description implements arg.Described.
--- a/baobabcommand/routecmd.go
+++ b/baobabcommand/routecmd.go
@@ -47,7 +47,7 @@
 	CallTimeout           *time.Duration `arg:"--call-timeout" placeholder:"DURATION" help:"longest duration of a call"`
 	Idempotent            *bool          `arg:"--idempotent" help:"calls may be run more than once; --idempotent=false for at most once"`
 	RequireIdempotencyKey *bool          `arg:"--require-idempotency-key" help:"refuse calls without Idempotency-Key"`
-	AllowAnonymous        *bool          `arg:"--allow-anonymous" help:"serve calls without a key while there are accounts"`
+	AllowAnonymous        *bool          `arg:"--allow-anonymous" help:"serve calls without a key while keys are required"`
 	AccountRanks          []string       `arg:"--account-rank,separate" placeholder:"PRIORITY=RANK" help:"rank of calls of accounts with a priority; repeat it for more; replaces all earlier ones"`
 	File                  string         `arg:"--file" placeholder:"FILE" help:"JSON text that replaces the route before the other options are set"`
 	editOptions
--- a/baobabconfiguration/document.go
+++ b/baobabconfiguration/document.go
@@ -88,6 +88,13 @@
 // Accounts returns all accounts, sorted by name.
 func (d *Document) Accounts() []Account { return resourcesOfKind[Account](d, KindAccount) }
 
+// RequiresKeys reports whether routes that do not allow anonymous calls require the key of an account: if the document has
+// an account or an Authentication.
+func (d *Document) RequiresKeys() bool {
+	_, required := d.Get(KindAuthentication, AuthenticationRequired)
+	return required || len(d.Accounts()) > 0
+}
+
 // UpstreamLabels returns the labels of the upstream with the id, and whether it has any.
 func (d *Document) UpstreamLabels(id string) (UpstreamLabels, bool) {
 	return findResource[UpstreamLabels](d, KindUpstreamLabels, id)
--- a/baobabconfiguration/kind.go
+++ b/baobabconfiguration/kind.go
@@ -12,6 +12,7 @@
 // Kinds of resources, sorted.
 const (
 	KindAccount        Kind = "account"
+	KindAuthentication Kind = "authentication"
 	KindPolicy         Kind = "policy"
 	KindRoute          Kind = "route"
 	KindSelector       Kind = "selector"
@@ -21,7 +22,7 @@
 
 // Kinds returns all kinds, sorted.
 func Kinds() []Kind {
-	return []Kind{KindAccount, KindPolicy, KindRoute, KindSelector, KindService, KindUpstreamLabels}
+	return []Kind{KindAccount, KindAuthentication, KindPolicy, KindRoute, KindSelector, KindService, KindUpstreamLabels}
 }
 
 // ParseKind returns the kind with the name, or an error if there is none.
--- a/baobabconfiguration/resource.go
+++ b/baobabconfiguration/resource.go
@@ -12,7 +12,7 @@
 // MaxResourceBytes limits the size of the JSON text of a resource. The platform stores rows of up to 64 KiB.
 const MaxResourceBytes = 48 << 10
 
-// A Resource is a named part of the configuration: an Account, Policy, Route, Selector, Service or UpstreamLabels.
+// A Resource is a named part of the configuration: an Account, Authentication, Policy, Route, Selector, Service or UpstreamLabels.
 type Resource interface {
 	// Kind returns the kind.
 	Kind() Kind
@@ -93,6 +93,8 @@
 	switch kind {
 	case KindAccount:
 		return parseAccount(name, text)
+	case KindAuthentication:
+		return parseAuthentication(name, text)
 	case KindPolicy:
 		return parsePolicy(name, text)
 	case KindRoute:
--- a/baobabconfiguration/route.go
+++ b/baobabconfiguration/route.go
@@ -26,7 +26,7 @@
 	idempotent            bool
 	unsafe                bool // No request may run more than once, whatever its method; excludes idempotent.
 	requireIdempotencyKey bool
-	allowAnonymous        bool              // Calls without a key are served while there are accounts.
+	allowAnonymous        bool              // Calls without a key are served while keys are required.
 	accountRanks          []accountRankJSON // Sorted by priority.
 }
 
@@ -224,7 +224,7 @@
 // RequireIdempotencyKey reports whether non-idempotent requests without an idempotency key are refused.
 func (r Route) RequireIdempotencyKey() bool { return r.requireIdempotencyKey }
 
-// AllowsAnonymous reports whether calls without a key are served while the configuration has accounts.
+// AllowsAnonymous reports whether calls without a key are served while the configuration requires keys.
 func (r Route) AllowsAnonymous() bool { return r.allowAnonymous }
 
 // AccountRank returns the rank of calls of accounts with the priority, or an empty string if they get the route's rank.
--- a/baobabconfiguration/validate.go
+++ b/baobabconfiguration/validate.go
@@ -33,6 +33,8 @@
 		switch r := r.(type) {
 		case Account:
 			v.checkAccount(r)
+		case Authentication:
+			v.checkAuthentication(r)
 		case Policy:
 			v.checkPolicy(r)
 		case Route:
@@ -97,6 +99,12 @@
 	v.checkLabels(a.labels)
 }
 
+func (v *validator) checkAuthentication(a Authentication) {
+	if a.name != AuthenticationRequired {
+		v.addProblem("name is %.64q, want %q", a.name, AuthenticationRequired)
+	}
+}
+
 func (v *validator) checkLimit(field string, value float64) {
 	if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
 		v.addProblem("%s is %g, want a finite number of 0 or more", field, value)
--- a/baobabconfiguration/view.go
+++ b/baobabconfiguration/view.go
@@ -17,6 +17,7 @@
 	policies []Policy  // Sorted by name; those of the routes and those of the selectors.
 	services []Service // Sorted by name.
 	accounts []Account // Sorted by name; all of the snapshot.
+	keys     bool      // Routes require keys; always if there is an account.
 	index    *routeIndex
 }
 
@@ -29,7 +30,7 @@
 		policies:   map[string]Policy{},
 		services:   map[string]Service{},
 	}
-	v := &View{version: s.version, labels: proxy, accounts: s.document.Accounts()}
+	v := &View{version: s.version, labels: proxy, accounts: s.document.Accounts(), keys: s.document.RequiresKeys()}
 	for _, selector := range s.document.Selectors() {
 		if !proxy.Contains(selector.match) {
 			continue
@@ -75,6 +76,10 @@
 // Accounts returns the accounts, sorted by name; they must not be modified.
 func (v *View) Accounts() []Account { return v.accounts }
 
+// RequiresKeys reports whether routes that do not allow anonymous calls require the key of an account. There may be no
+// account; then no call has a valid key.
+func (v *View) RequiresKeys() bool { return v.keys }
+
 // Match returns the route of a request and its policy, and whether there is one. A route for the exact host takes
 // precedence over one for every host, then the longest path prefix wins, then a route that lists the method takes
 // precedence over one for every method. Routes that do not allow the method are skipped. The host may include a port.
--- a/baobabnode/accountcontroller.go
+++ b/baobabnode/accountcontroller.go
@@ -60,12 +60,12 @@
 	rank    string // Empty if the account does not change the rank.
 }
 
-// identify returns the account of a call, or a refusal with OutcomeNotRun. Without accounts in the configuration in force
-// every call is anonymous. Refusals do not distinguish a missing key from an unknown one.
+// identify returns the account of a call, or a refusal with OutcomeNotRun. If the configuration in force does not require
+// keys, every call is anonymous. Refusals do not distinguish a missing key from an unknown one.
 func (a *accountController) identify(_ time.Time, active *blackboard.ActiveConfiguration, r configuration.Route,
 	c *call.Call) (identity, *call.Refusal) {
 	directory := active.Accounts()
-	if directory.Empty() {
+	if !directory.RequiresKeys() {
 		return identity{}, nil
 	}
 	k := c.Credential()
@@ -124,7 +124,7 @@
 // proofView returns the proof for the version in force, or nil where keys need none.
 func (a *accountController) proofView() *operator.ProofView {
 	active := a.board.ActiveConfiguration()
-	if !a.freshness.Enabled() || active == nil || active.Accounts().Empty() {
+	if !a.freshness.Enabled() || active == nil || !active.Accounts().RequiresKeys() {
 		return nil
 	}
 	now, number := a.bootTime(), active.Version().Number()
@@ -144,7 +144,7 @@
 	return &wire.Proof{Number: p.Number(), AgeUs: (a.bootTime() - p.At()).Microseconds()}
 }
 
-// run obtains proofs until ctx ends, while the configuration in force has accounts and keys need proof.
+// run obtains proofs until ctx ends, while the configuration in force requires keys and keys need proof.
 func (a *accountController) run(ctx context.Context) error {
 	if !a.freshness.Enabled() {
 		return nil
@@ -154,7 +154,7 @@
 	defer requests.Wait()
 	for ctx.Err() == nil {
 		changed := a.board.ActiveConfigurationChanged()
-		if active := a.board.ActiveConfiguration(); active == nil || active.Accounts().Empty() {
+		if active := a.board.ActiveConfiguration(); active == nil || !active.Accounts().RequiresKeys() {
 			select {
 			case <-ctx.Done():
 			case <-changed:
--- a/baobabnode/accountcontroller_test.go
+++ b/baobabnode/accountcontroller_test.go
@@ -20,14 +20,26 @@
 	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
-// newAccountIngress returns an ingress whose version has an account with the key "good", unless it has none.
-func newAccountIngress(t *testing.T, now time.Time, withAccount bool, limit time.Duration) (*Ingress, *accountController) {
+// An accountFixture says what the version of a test has of accounts.
+type accountFixture int
+
+const (
+	withoutAccounts accountFixture = iota
+	withAccount                    // The account club with the key "good".
+	withoutAccount                 // Keys are required, but there is no account.
+)
+
+// newAccountIngress returns an ingress and its accounts.
+func newAccountIngress(t *testing.T, now time.Time, accounts accountFixture, limit time.Duration) (*Ingress, *accountController) {
 	t.Helper()
 	extra := []testResource{
 		{"route", "member", `{"path_prefix":"/member","service":"lanes","policy":"p","account_ranks":[{"priority":0,"rank":"urgent"}]}`},
 		{"route", "open", `{"path_prefix":"/open","service":"lanes","policy":"p","account_ranks":[{"priority":0,"rank":"urgent"}],"allow_anonymous":true}`},
 	}
-	if withAccount {
+	switch accounts {
+	case withoutAccount:
+		extra = append(extra, testResource{"authentication", "required", `{}`})
+	case withAccount:
 		digest := sha256.Sum256([]byte("good"))
 		extra = append(extra, testResource{"account", "club", fmt.Sprintf(`{"key_digests":["%x"]}`, digest)})
 	}
@@ -47,31 +59,35 @@
 	for _, c := range []struct {
 		name, path    string
 		authorization []string
-		withAccount   bool
+		accounts      accountFixture
 		proof         bool
 		refusal       call.Reason // Empty if the call is routed.
 		account, rank string
 		forwarded     bool // The key's field stays in the header.
 	}{
-		{"known key", "/member", []string{"Bearer good"}, true, true, "", "club", "urgent", false},
-		{"scheme in lower case", "/member", []string{"bearer good"}, true, true, "", "club", "urgent", false},
-		{"known key on an anonymous route", "/open", []string{"Bearer good"}, true, true, "", "club", "urgent", false},
-		{"unknown key", "/member", []string{"Bearer bad"}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"unknown key on an anonymous route", "/open", []string{"Bearer bad"}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"no key", "/member", nil, true, true, call.ReasonUnauthorized, "", "", false},
-		{"no key on an anonymous route", "/open", nil, true, false, "", "", "normal", false},
-		{"two keys", "/member", []string{"Bearer good", "Bearer good"}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"two keys on an anonymous route", "/open", []string{"Bearer good", "x"}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"other scheme", "/open", []string{"Basic good"}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"empty key", "/open", []string{"Bearer "}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"oversized key", "/open", []string{"Bearer " + long}, true, true, call.ReasonUnauthorized, "", "", false},
-		{"no route", "/none", []string{"Bearer good"}, true, false, call.ReasonNoRoute, "", "", false},
-		{"no proof", "/member", []string{"Bearer good"}, true, false, call.ReasonProofExpired, "", "", false},
-		{"no proof, anonymous route", "/open", []string{"Bearer good"}, true, false, call.ReasonProofExpired, "", "", false},
-		{"no proof, no key", "/member", nil, true, false, call.ReasonUnauthorized, "", "", false},
-		{"no accounts", "/member", []string{"Bearer bad"}, false, false, "", "", "normal", true},
+		{"known key", "/member", []string{"Bearer good"}, withAccount, true, "", "club", "urgent", false},
+		{"scheme in lower case", "/member", []string{"bearer good"}, withAccount, true, "", "club", "urgent", false},
+		{"known key on an anonymous route", "/open", []string{"Bearer good"}, withAccount, true, "", "club", "urgent", false},
+		{"unknown key", "/member", []string{"Bearer bad"}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"unknown key on an anonymous route", "/open", []string{"Bearer bad"}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"no key", "/member", nil, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"no key on an anonymous route", "/open", nil, withAccount, false, "", "", "normal", false},
+		{"two keys", "/member", []string{"Bearer good", "Bearer good"}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"two keys on an anonymous route", "/open", []string{"Bearer good", "x"}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"other scheme", "/open", []string{"Basic good"}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"empty key", "/open", []string{"Bearer "}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"oversized key", "/open", []string{"Bearer " + long}, withAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"no route", "/none", []string{"Bearer good"}, withAccount, false, call.ReasonNoRoute, "", "", false},
+		{"no proof", "/member", []string{"Bearer good"}, withAccount, false, call.ReasonProofExpired, "", "", false},
+		{"no proof, anonymous route", "/open", []string{"Bearer good"}, withAccount, false, call.ReasonProofExpired, "", "", false},
+		{"no proof, no key", "/member", nil, withAccount, false, call.ReasonUnauthorized, "", "", false},
+		{"no accounts", "/member", []string{"Bearer bad"}, withoutAccounts, false, "", "", "normal", true},
+		{"last account deleted", "/member", []string{"Bearer good"}, withoutAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"last account deleted, no key", "/member", nil, withoutAccount, true, call.ReasonUnauthorized, "", "", false},
+		{"last account deleted, no proof", "/member", []string{"Bearer good"}, withoutAccount, false, call.ReasonProofExpired, "", "", false},
+		{"last account deleted, anonymous route", "/open", nil, withoutAccount, false, "", "", "normal", false},
 	} {
-		g, a := newAccountIngress(t, now, c.withAccount, 5*time.Second)
+		g, a := newAccountIngress(t, now, c.accounts, 5*time.Second)
 		if c.proof {
 			a.freshness.Record(account.NewProof(1, a.bootTime()))
 		}
@@ -105,7 +121,7 @@
 		delay time.Duration
 		valid bool
 	}{{0, true}, {2 * time.Second, true}, {4 * time.Second, false}} {
-		_, a := newAccountIngress(t, time.Now(), true, 5*time.Second)
+		_, a := newAccountIngress(t, time.Now(), withAccount, 5*time.Second)
 		clock := time.Minute
 		a.bootTime = func() time.Duration { return clock }
 		a.members = newMemberTable(a.board, membership.NewTable(membership.NewMember("n1", "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1)))
--- a/baobabnode/configurationcontroller.go
+++ b/baobabnode/configurationcontroller.go
@@ -265,7 +265,7 @@
 	c.history = append(c.history[max(0, len(c.history)-historyLength+1):len(c.history):len(c.history)], s)
 	fetched := c.sightings.inForce(now, loaded, s.Version().Number(), via)
 	c.logger.Info("configuration in force", "number", s.Version().Number(), "digest", s.Version().Digest(), "via", string(via),
-		"fetched", fetched, "applied", now.Sub(loaded))
+		"fetched", fetched, "applied", now.Sub(loaded), "accounts", len(view.Accounts()), "keys_required", view.RequiresKeys())
 	return nil
 }
 
--- a/baobaboperator/kind.go
+++ b/baobaboperator/kind.go
@@ -8,6 +8,7 @@
 // Kinds of resources.
 const (
 	KindAccount        Kind = "account"
+	KindAuthentication Kind = "authentication"
 	KindPolicy         Kind = "policy"
 	KindRoute          Kind = "route"
 	KindSelector       Kind = "selector"
@@ -17,7 +18,7 @@
 
 // Kinds returns all kinds in dependency order: resources refer only to resources of earlier kinds.
 func Kinds() []Kind {
-	return []Kind{KindService, KindUpstreamLabels, KindAccount, KindPolicy, KindRoute, KindSelector}
+	return []Kind{KindService, KindUpstreamLabels, KindAuthentication, KindAccount, KindPolicy, KindRoute, KindSelector}
 }
 
 // Valid reports whether the kind exists.
--- a/baobabproof/withdrawnkey_test.go
+++ b/baobabproof/withdrawnkey_test.go
@@ -142,6 +142,34 @@
 	k.waitResult(ctx, paused, "kept", "")
 }
 
+// TestDeletedLastAccount guards against requests that run, with the key or without any, after the last account was deleted: on
+// nodes that get the version and on one that starts with it.
+func TestDeletedLastAccount(t *testing.T) {
+	t.Parallel()
+	k := newKeyTest(t, "first")
+	ctx := testContext(t)
+	nodes := k.m.Nodes()
+	for _, n := range nodes {
+		k.waitResult(ctx, n, "first", "")
+	}
+	if err := k.editor.Delete(ctx, baobaboperator.KindAccount, "club"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := k.editor.Accept(ctx); err != nil {
+		t.Fatal(err)
+	}
+	k.withdrawn["first"] = time.Now()
+	nodes[0].NodeProcess().Kill()
+	if err := nodes[0].NodeProcess().Start(); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range nodes {
+		for _, key := range []string{"first", "unknown", ""} {
+			k.waitResult(ctx, n, key, "unauthorized")
+		}
+	}
+}
+
 // TestWithdrawnKeyStaleReads guards against requests with a withdrawn key while the store serves stale reads and no node
 // announces the version: only a conditional transaction shows it.
 func TestWithdrawnKeyStaleReads(t *testing.T) {
--- a/baobabrelease/repository.go
+++ b/baobabrelease/repository.go
@@ -100,7 +100,8 @@
 }
 
 // DeleteEdit deletes an edit if it has the expected revision. A conflict carries the newer edit. If the platform's
-// response is lost, DeleteEdit succeeds if the edit does not exist afterwards.
+// response is lost, DeleteEdit succeeds if the edit does not exist afterwards. Deleting an account also sets the
+// Authentication, so that its keys do not become needless with the last account.
 func (r *Repository) DeleteEdit(ctx context.Context, kind, name string, expected Revision) error {
 	const operation = "delete edit"
 	k, err := configuration.ParseKind(kind)
@@ -111,8 +112,15 @@
 		return newError(operation, KindInvalid, errors.New("expected revision is 0, which denotes no existing edit"))
 	}
 	key := editKey(k, name)
-	tx := platform.NewTransaction().IfRevision(key, uint64(expected)).Delete(key).Put(sequenceKey, nil).Build()
-	_, err = r.store.Commit(ctx, tx)
+	tx := platform.NewTransaction().IfRevision(key, uint64(expected)).Delete(key).Put(sequenceKey, nil)
+	if k == configuration.KindAccount {
+		a, err := configuration.NewAuthentication()
+		if err != nil {
+			return newError(operation, KindInvalid, err)
+		}
+		tx = tx.Put(editKey(a.Kind(), a.Name()), a.Text())
+	}
+	_, err = r.store.Commit(ctx, tx.Build())
 	if err == nil {
 		return nil
 	}
--- a/baobabrelease/repository_test.go
+++ b/baobabrelease/repository_test.go
@@ -43,6 +43,35 @@
 	}
 }
 
+// TestDeletedAccountKeepsKeysRequired guards against an account whose deletion, as that of the last one, lets requests run
+// without a key.
+func TestDeletedAccountKeepsKeysRequired(t *testing.T) {
+	ctx := context.Background()
+	_, _, repositories := newRepositories()
+	check := func(want bool) {
+		t.Helper()
+		if d, err := repositories[1].Candidate(ctx); err != nil || d.RequiresKeys() != want {
+			t.Errorf("candidate requires keys: %t, %v, want %t", !want, err, want)
+		}
+	}
+	mustSetEdit(t, repositories[0], "service", "a", `{}`, 0)
+	check(false)
+	club := mustSetEdit(t, repositories[0], "account", "club", `{}`, 0)
+	check(true)
+	if err := repositories[0].DeleteEdit(ctx, "account", "club", club.Revision()); err != nil {
+		t.Fatal(err)
+	}
+	check(true)
+	required, ok, err := repositories[0].GetEdit(ctx, "authentication", "required")
+	if err != nil || !ok {
+		t.Fatalf("no authentication is set: %v", err)
+	}
+	if err := repositories[0].DeleteEdit(ctx, "authentication", "required", required.Revision()); err != nil {
+		t.Fatal(err)
+	}
+	check(false)
+}
+
 // TestEditRejectsInvalidArguments guards against stored rows from which no candidate can be built.
 func TestEditRejectsInvalidArguments(t *testing.T) {
 	ctx := context.Background()
