node, upstream: an upstream announced after a start is verified before it is used

Cause: the leaving was acknowledged while only the memory of the nodes held it. VMs have no disk, and an upstream without an acknowledgement exits anyway, so there is no place that could hold the promise.

Evidence: the node logs "upstream deregistered", 0.5 ms later "departure acknowledged before it is recorded ... status 503", after the restart no "departure restored" and no line of the discovery. Ruled out: a row that is read too late, a peer or the discovery that brings the upstream back. The wait of 0.6 s for the record ended with the first refusal of the store.

Change: an upstream that is announced within a minute of the start of its node is shown once it has passed a health check of the node, or has announced itself for the heartbeat limit, which is longer than announcements are late. One that leaves does neither. The write of a departure is repeated within the 0.6 s. The health check of the platform's adapter is one type now, which the discovery and the verification use.

--- a/baobabnode/departurecontroller.go
+++ b/baobabnode/departurecontroller.go
@@ -28,6 +28,8 @@
 	// departureAckWait bounds how long the response to an upstream that departs waits for the row. Upstreams wait a
 	// second for the response.
 	departureAckWait = 600 * time.Millisecond
+	// departureAckPause is the pause between writes of a departure within that time.
+	departureAckPause = 150 * time.Millisecond
 	// departureRowLimit is the number of rows that a failure domain keeps. It exceeds the nodes of a failure domain whose
 	// upstreams may depart within the seconds by which an announcement can be late.
 	departureRowLimit = 256
@@ -212,14 +214,15 @@
 func (c *departureController) unlock() { <-c.writing }
 
 // acknowledge returns a handler for announcements whose responses wait until the departures that they acknowledge are
-// recorded, or for departureAckWait: an upstream that gets no response while the platform is away would exit anyway.
+// recorded, or for departureAckWait: an upstream that gets no response while the platform is away would exit anyway. A departure
+// that is lost with this process is kept by the upstreamVerifier of the next one.
 func (c *departureController) acknowledge(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := &heldResponse{ResponseWriter: w, status: http.StatusOK}
 		next.ServeHTTP(held, r)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), departureAckWait)
 		defer cancel()
-		if err := c.record(ctx); err != nil {
+		if err := c.recordWithin(ctx); err != nil {
 			c.logger.Warn("departure acknowledged before it is recorded", "err", err)
 			select {
 			case c.retry <- struct{}{}:
@@ -230,6 +233,16 @@
 	})
 }
 
+// recordWithin records the last departure, with several writes if need be, until ctx is done.
+func (c *departureController) recordWithin(ctx context.Context) error {
+	for {
+		err := c.record(ctx)
+		if err == nil || !sleep(ctx, departureAckPause) {
+			return err
+		}
+	}
+}
+
 // A heldResponse keeps a response until it may be sent.
 type heldResponse struct {
 	http.ResponseWriter
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -67,6 +67,7 @@
 	membership    *membershipController
 	upstream      *upstreamController
 	departures    *departureController
+	verifier      *upstreamVerifier
 	quarantine    *quarantineController
 	accounts      *accountController
 	limits        *limitController
@@ -87,7 +88,8 @@
 	n := &Node{
 		settings: s, logger: logger, metrics: metrics.NewSet(), tomb: new(tomb.Tomb), now: time.Now,
 		board: blackboard.NewBoard(), gate: newGate(s.Upstream(), s.Admission()), endpointStats: route.NewEndpointStats(),
-		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit()), upstream.WithRestore()),
+		registry: upstream.NewRegistry(upstream.WithHeartbeatLimit(s.Upstream().HeartbeatLimit()), upstream.WithRestore(),
+			upstream.WithVerification(time.Now().Add(verificationPeriod))),
 	}
 	n.overrides.withdrawalLimit = s.Accounts().WithdrawalLimit()
 	n.overrides.gracePeriod, n.overrides.drainTimeout = s.Shutdown().GracePeriod(), s.Shutdown().DrainTimeout()
@@ -232,6 +234,11 @@
 	}
 	n.departures = newDepartureController(n.board, n.store, n.registry, s.Node().FailureDomain(), s.Node().ID(),
 		s.Platform().StartWait(), n.logger, n.metrics)
+	verify := n.overrides.verifier
+	if verify == nil && s.Upstream().Probes() {
+		verify = newHealthVerifier()
+	}
+	n.verifier = newUpstreamVerifier(n.registry, verify, n.logger, n.metrics)
 	n.admitter = &Admitter{
 		board: n.board, gate: n.gate, registry: n.registry, ledger: n.ledger, quarantine: n.quarantine, now: n.now, logger: n.logger,
 		decisions: n.decisionLog, dependencies: n.dependencies, rollouts: n.rollouts,
@@ -351,7 +358,7 @@
 		n.serveHTTP(l.ready, http.HandlerFunc(n.serveReady))
 	}
 	for _, run := range []func(context.Context) error{
-		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.departures.run, n.seeds.run, n.quarantine.run, n.accounts.run, n.limits.run, n.rollouts.run,
+		n.bootstrapper.run, n.membership.run, n.configuration.run, n.upstream.run, n.departures.run, n.verifier.run, n.seeds.run, n.quarantine.run, n.accounts.run, n.limits.run, n.rollouts.run,
 		n.syncAdmissionPolicy, n.sweepEndpointStats, (&shortageLog{gate: n.gate, now: n.now, logger: n.logger}).run,
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
--- a/baobabnode/option.go
+++ b/baobabnode/option.go
@@ -21,6 +21,7 @@
 	callerOptions             []caller.Option
 	clientOptions             []upstream.ClientOption
 	announcementHandler       func(*upstream.Registry) http.Handler
+	verifier                  Verifier      // Nil: by the health endpoint, if the settings turn probes on.
 	speedReader               SpeedReader   // Nil: upstreams do not state their speed.
 	gracePeriod, drainTimeout time.Duration // Default to the settings.
 	withdrawalLimit           time.Duration // Defaults to the settings.
@@ -66,6 +67,9 @@
 	return func(o *overrides) { o.announcementHandler = handler }
 }
 
+// WithVerifier replaces the check of an upstream that is announced soon after the start of the node.
+func WithVerifier(v Verifier) Option { return func(o *overrides) { o.verifier = v } }
+
 // WithSpeedReader sets how answers of the upstream state how long work takes there. It has an effect only where the
 // settings make nodes choose by rates.
 func WithSpeedReader(read SpeedReader) Option { return func(o *overrides) { o.speedReader = read } }
--- a/baobabupstream/announcement.go
+++ b/baobabupstream/announcement.go
@@ -28,6 +28,7 @@
 	startFromAge bool      // startedAt was computed from an age, so a delayed announcement makes it too late.
 	sequence     uint64    // Increases with each announcement of a process.
 	sequenced    bool      // The sequence is known.
+	verified     bool      // The node itself has seen that the upstream is up and does not leave.
 }
 
 // AnnouncementOption sets an optional property of an Announcement.
@@ -42,6 +43,9 @@
 // WithStart sets the start time of the upstream.
 func WithStart(t time.Time) AnnouncementOption { return func(a *Announcement) { a.startedAt = t } }
 
+// WithVerified marks an announcement that follows from a health check by the node, and not from what an upstream has sent.
+func WithVerified() AnnouncementOption { return func(a *Announcement) { a.verified = true } }
+
 // WithLabel adds a label.
 func WithLabel(name, value string) AnnouncementOption {
 	return func(a *Announcement) {
--- a/baobabupstream/prober.go
+++ b/baobabupstream/prober.go
@@ -18,6 +18,9 @@
 	maxProbeBytes        = 64 << 10
 )
 
+// HealthPath is the path at which an upstream answers with 200 OK while it is healthy.
+const HealthPath = "/health"
+
 // A Prober probes an upstream's health and load endpoints at an interval. It owns one goroutine, which Stop ends, and
 // one connection.
 type Prober struct {
@@ -84,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	var r ProbeResult
-	_, r.healthy = p.get(ctx, "/health")
+	_, r.healthy = p.get(ctx, HealthPath)
 	if body, ok := p.get(ctx, "/load"); ok {
 		r.parseLoad(body)
 	}
--- a/baobabupstream/registry.go
+++ b/baobabupstream/registry.go
@@ -26,6 +26,7 @@
 	departure           Departure // Last upstream that drained or left; its delayed heartbeats are refused.
 	earlierDeparture    Departure // Of another process, before departure.
 	restoring           bool      // The departure that an earlier process of this node recorded is not known yet.
+	verification        *verification
 	excluded            excludedProcess
 	supersededRefusedAt time.Time // First refusal of a superseded process since lastHeartbeatAt.
 	notice              Notice    // Last notice of the current process; its leaving is final.
@@ -62,9 +63,16 @@
 // WithRestore makes the registry show no upstream until Restore has been called.
 func WithRestore() RegistryOption { return func(r *Registry) { r.restoring = true } }
 
+// WithVerification makes the registry show an upstream that is first announced before a time only once it is verified: by
+// Verify, by an announcement WithVerified, or by announcing itself for the heartbeat limit. Until then an announcement may be a late one
+// of an upstream that has left, and whose leaving an earlier process of this node has acknowledged.
+func WithVerification(until time.Time) RegistryOption {
+	return func(r *Registry) { r.verification.until = until }
+}
+
 // NewRegistry returns a registry without an upstream.
 func NewRegistry(options ...RegistryOption) *Registry {
-	r := &Registry{heartbeatLimit: defaultHeartbeatLimit, changed: make(chan struct{}, 1)}
+	r := &Registry{heartbeatLimit: defaultHeartbeatLimit, changed: make(chan struct{}, 1), verification: newVerification()}
 	for _, o := range options {
 		o(r)
 	}
@@ -109,7 +117,7 @@
 	}
 	same := r.state == a.state && a.equalExceptStart(r.current) && a.startedAt.Equal(r.current.startedAt)
 	r.current, r.state, r.lastHeartbeatAt = a, a.state, now
-	if !same {
+	if r.verification.observe(now, a, r.heartbeatLimit) || !same {
 		r.notify()
 	}
 	return nil
@@ -323,12 +331,36 @@
 	return r.state != ""
 }
 
-// Current returns the announcement and the state of the upstream; false if none is announced, or if departures are still
-// to be restored.
+// Unverified returns a channel that receives a value after Pending has begun to return an announcement.
+func (r *Registry) Unverified() <-chan struct{} { return r.verification.wanted }
+
+// Pending returns the announcement of the upstream that has to be verified before it is shown, and whether there is one.
+func (r *Registry) Pending() (Announcement, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current, r.isPending()
+}
+
+func (r *Registry) isPending() bool {
+	return r.state.AcceptsCalls() && !r.verification.covers(r.current)
+}
+
+// Verify shows the upstream that Pending has returned, unless another process is announced meanwhile.
+func (r *Registry) Verify(a Announcement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isPending() && r.sameProcess(a) {
+		r.verification.accept(r.current)
+		r.notify()
+	}
+}
+
+// Current returns the announcement and the state of the upstream; false if none is announced, if it is to be verified, or if
+// departures are still to be restored.
 func (r *Registry) Current() (Announcement, State, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.restoring {
+	if r.restoring || r.isPending() {
 		return Announcement{}, "", false
 	}
 	return r.current, r.state, r.state != ""
--- a/baobabupstream/registry_test.go
+++ b/baobabupstream/registry_test.go
@@ -312,3 +312,69 @@
 		}
 	}
 }
+
+// TestVerification guards against an upstream that has left and gets calls because of a late announcement after a restart of its
+// node, and against an upstream that is up and gets none.
+func TestVerification(t *testing.T) {
+	const limit = defaultHeartbeatLimit
+	start := time.UnixMilli(1_800_000_000_000)
+	announce := func(id string, born int64, sequence uint64, options ...AnnouncementOption) Announcement {
+		options = append(options, WithSequence(sequence))
+		if born > 0 {
+			options = append(options, WithStart(time.UnixMilli(born)))
+		}
+		a, err := NewAnnouncement(id, "quotes", "127.0.0.1:9", 6, 8, options...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	verify := func(r *Registry) {
+		if a, ok := r.Pending(); ok {
+			r.Verify(a)
+		}
+	}
+	type step struct {
+		after    time.Duration // Since start.
+		announce Announcement
+		then     func(*Registry) // Nil: nothing.
+		shown    bool
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"one announcement", []step{{0, announce("u", 7, 3), nil, false}}},
+		{"late announcements", []step{{0, announce("u", 7, 3), nil, false}, {limit - 1, announce("u", 7, 4), nil, false}}},
+		{"announcements for the limit", []step{{0, announce("u", 7, 3), nil, false}, {limit, announce("u", 7, 4), nil, true}}},
+		{"verified", []step{{0, announce("u", 7, 3), verify, true}, {1, announce("u", 7, 4), nil, true}}},
+		{"found by the node, then announced", []step{{0, announce("u", 0, 0, WithVerified()), nil, true}, {1, announce("u", 7, 4), nil, true}}},
+		{"drains", []step{{0, announce("u", 7, 3, WithState(StateDraining)), nil, true}}},
+		{"another process under the id", []step{{0, announce("u", 7, 3), verify, true}, {1, announce("u", 8, 1), nil, false}, {2, announce("u", 8, 2), verify, true}}},
+		{"another process is verified meanwhile", []step{{0, announce("u", 7, 3), nil, false},
+			{1, announce("u", 8, 1), func(r *Registry) { r.Verify(announce("u", 7, 3)) }, false}}},
+		{"failed meanwhile", []step{{0, announce("u", 7, 3), func(r *Registry) { r.MarkFailed("u"); r.Verify(announce("u", 7, 3)) }, true}, {1, announce("u", 7, 4), nil, false}}},
+		{"first announced later", []step{{time.Minute + 1, announce("u", 7, 3), nil, true}}},
+	} {
+		r := NewRegistry(WithVerification(start.Add(time.Minute)))
+		for i, s := range c.steps {
+			if err := r.Announce(start.Add(s.after), s.announce); err != nil {
+				t.Fatalf("%s, step %d: %v", c.name, i, err)
+			}
+			if s.then != nil {
+				s.then(r)
+			}
+			if _, _, shown := r.Current(); shown != s.shown {
+				t.Errorf("%s, step %d: shown %t, want %t", c.name, i, shown, s.shown)
+			}
+			_, pending := r.Pending()
+			select {
+			case <-r.Unverified():
+			default:
+				if pending {
+					t.Errorf("%s, step %d: nobody is told that the upstream is to be verified", c.name, i)
+				}
+			}
+		}
+	}
+}
