quota, node: limits of accounts outlive the loss of their coordinator

Cause: what an account may still use was in the memory of its coordinator alone. Nodes used up its grants and went on with 1.5 times their recent rate until another one was elected 2 to 4 s later, set their totals to 0 after the silence, and the next coordinator granted the full rate to an account that was far over its limit. The restarted node began with an empty memory once more.

Ruled out: a full burst at the next coordinator.

Change: a node whose report is not answered asks the next of four candidates; a candidate that reaches one before it names that one. Grants tell the level of the account, and nodes bring the last one to the next coordinator. Reports say what the coordinator knows, so nothing is left out or charged twice. In place of a coordinator, or alone after a start, a node grants a part of the rate for 2.5 s. Grants and levels end with a pause of the process of over 1 s.

--- a/baobabnode/limitcontroller_test.go
+++ b/baobabnode/limitcontroller_test.go
@@ -1,6 +1,7 @@
 package baobabnode
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -12,6 +13,7 @@
 	blackboard "github.com/baobabdale/baobabdale/baobabblackboard"
 	membership "github.com/baobabdale/baobabdale/baobabmembership"
 	quota "github.com/baobabdale/baobabdale/baobabquota"
+	wire "github.com/baobabdale/baobabdale/baobabwire"
 )
 
 // TestCutOffCoordinatorGrantsLittle guards against two coordinators that both grant the whole rate of an account: a node that
@@ -58,3 +60,33 @@
 		})
 	}
 }
+
+// TestReportInPlaceOfCoordinator guards against two nodes that coordinate the same accounts: one that is asked in place of the
+// coordinator takes a report only while it does not reach that.
+func TestReportInPlaceOfCoordinator(t *testing.T) {
+	now := time.Unix(1000, 0)
+	member := func(id string) membership.Member {
+		return membership.NewMember(id, "127.0.0.1:1", "127.0.0.1:2", "a", "r", 1)
+	}
+	table := membership.NewTable(member("n0"))
+	table.Merge(now, []membership.Member{member("n1"), member("n2")})
+	order := table.RendezvousOrder("quota/0", "")
+	table = membership.NewTable(member(order[1].ID()))
+	table.Merge(now, []membership.Member{order[0], order[2]})
+	reached := map[string]bool{order[0].ID(): true, order[2].ID(): true}
+	l := newLimitController(newMemberTable(blackboard.NewBoard(), table), nil, nil, func() time.Time { return now },
+		log.New(io.Discard), metrics.NewSet())
+	l.limitOf = func(string) (float64, float64, bool) { return 10, 10, true }
+	l.reach = newReachability(func(_ context.Context, id string) bool { return reached[id] })
+	l.setTopology(now, false)
+	report := &wire.UsageReport{From: order[2].ID(), Start: 1, Accounts: []*wire.AccountUsage{{Account: "club", Asked: 3, Admitted: 3}}}
+	if m := l.answerUsage(now, report); m.GetEarlier() != order[0].ID() || len(m.GetAccounts()) > 0 {
+		t.Errorf("reply %v while the coordinator is within reach, want its id %s", m, order[0].ID())
+	}
+	reached[order[0].ID()] = false
+	now = now.Add(2 * reachMemory)
+	m := l.answerUsage(now, report)
+	if m.GetEarlier() != "" || len(m.GetAccounts()) != 1 || m.GetAccounts()[0].Level == nil {
+		t.Errorf("reply %v while the coordinator is out of reach, want a grant with a level", m)
+	}
+}
--- a/baobabnode/node.go
+++ b/baobabnode/node.go
@@ -228,6 +228,10 @@
 		exchangeInterval: s.Membership().ExchangeInterval(),
 	}
 	n.limits.cutOff = n.membership.cutOff.Load
+	n.limits.reach = newReachability(func(ctx context.Context, id string) bool {
+		m, ok := n.members.member(id)
+		return ok && n.membership.probe(ctx, m)
+	})
 	n.upstream = &upstreamController{
 		board: n.board, registry: n.registry, gate: n.gate, membership: n.membership, now: n.now, logger: n.logger,
 		clientOptions: n.overrides.clientOptions, probes: s.Upstream().Probes(),
--- a/baobabquota/ledgeraccount.go
+++ b/baobabquota/ledgeraccount.go
@@ -18,7 +18,12 @@
 	demand         float64 // Requests per second at all nodes.
 	baseShare      float64 // Share before nodes started to report here.
 	rateShare      float64 // Part of the rate that this side of the mesh may grant.
+	known          int     // Members, including dead ones that did not leave.
 	reporters      map[string]*reporter
+	createdAt      time.Time
+	awaitsLevel    bool    // The level started at zero, because nothing was known of it.
+	base           float64 // Level that nodes brought from another coordinator.
+	baseAt         time.Time
 	announcedShare float64
 	announced      time.Time // When the share was last announced to all nodes; zero if never.
 }
@@ -37,12 +42,13 @@
 	presumed        float64   // Requests charged without a report.
 	withheld        float64   // Share of the requests that it refused when the session started.
 	active          bool      // The last report was not a closing one.
+	unmeasured      bool      // The rates are those of another coordinator's time.
 }
 
 // newLedgerAccount returns the state of an account without use. Its level is the burst if nothing can have used it, and
 // zero otherwise.
 func newLedgerAccount(now time.Time, name string, l Limit, full bool) *ledgerAccount {
-	a := &ledgerAccount{name: name, limit: l, updatedAt: now, share: 1, baseShare: 1, rateShare: 1, reporters: map[string]*reporter{}}
+	a := &ledgerAccount{name: name, limit: l, createdAt: now, updatedAt: now, awaitsLevel: !full, share: 1, baseShare: 1, rateShare: 1, known: 1, reporters: map[string]*reporter{}}
 	if full {
 		a.level = l.burst
 	}
@@ -51,19 +57,21 @@
 
 // record charges the difference between a total and the last one of the same session.
 func (a *ledgerAccount) record(now time.Time, report Report, u Usage, t Topology, rateShare float64) {
-	a.rateShare = rateShare
+	a.rateShare, a.known = rateShare, t.known
 	r := a.reporters[report.from]
 	if r == nil {
 		r = &reporter{at: now.Add(-reportInterval), measuredAt: now.Add(-reportInterval)}
 		a.reporters[report.from] = r
-		if float64(u.admitted) > a.limit.withoutGrant(t)+1 {
-			// The session is older than this process, which granted it more before it restarted.
-			r.session, r.joined, r.asked, r.admitted = report.session, now, u.asked, u.admitted
-		}
 	}
 	if r.session != report.session || u.asked < r.asked {
-		r.session, r.joined, r.asked, r.admitted = report.session, now, 0, 0
+		a.inherit(now, u)
+		r.session, r.joined, r.asked, r.admitted = report.session, now, u.knownAsked, u.knownAdmitted
 		r.withheld = u.withheld
+		if u.hasLevel {
+			// The totals are those since the last grant.
+			r.measuredAt, r.demand, r.admitRate = now.Add(-max(u.levelAge, urgentInterval)), 0, 0
+			r.newAsked, r.newAdmitted, r.unmeasured = 0, 0, true
+		}
 	}
 	asked, admitted := float64(u.asked-r.asked), float64(int64(u.admitted-r.admitted))
 	r.active = asked > 0 || admitted != 0
@@ -73,6 +81,53 @@
 	a.update(now)
 }
 
+// inherit lowers the level to what another coordinator has granted, as a node that has just turned to this one remembers it. What
+// ran since then is in the reports. Of several nodes the one that remembers least knows most; what others reported before stays
+// charged.
+func (a *ledgerAccount) inherit(now time.Time, u Usage) {
+	a.update(now)
+	if !u.hasLevel {
+		return
+	}
+	level := a.accrued(u.level, u.levelAge)
+	base := a.accrued(a.base, now.Sub(a.baseAt))
+	switch {
+	case now.Sub(a.baseAt) < takeoverTime:
+		a.level -= max(0, base-level)
+		level = min(level, base)
+	case a.awaitsLevel && now.Sub(a.createdAt) < takeoverTime:
+		a.level = min(a.level+level, a.limit.burst)
+	case level < a.level:
+		a.level = level
+	default:
+		return
+	}
+	a.base, a.baseAt, a.awaitsLevel = level, now, false
+}
+
+// accrued returns a level after a time without requests.
+func (a *ledgerAccount) accrued(level float64, elapsed time.Duration) float64 {
+	return min(level+elapsed.Seconds()*a.limit.rate, a.limit.burst)
+}
+
+// reportedLevel returns the level by the reports alone. Another coordinator gets the reports of nodes that are silent here.
+func (a *ledgerAccount) reportedLevel() float64 {
+	level := a.level
+	for _, r := range a.reporters {
+		level += r.presumed
+	}
+	return min(level, a.limit.burst)
+}
+
+// resume continues after this process did not run for a time, in which the nodes turned to another coordinator.
+func (a *ledgerAccount) resume(now time.Time, absence time.Duration) {
+	a.updatedAt = now
+	a.level = min(a.level, 0)
+	for _, r := range a.reporters {
+		r.at = r.at.Add(absence)
+	}
+}
+
 // announceDue reports whether the last announcement is old, or much higher than the share is now.
 func (a *ledgerAccount) announceDue(now time.Time) bool {
 	age := now.Sub(a.announced)
@@ -100,6 +155,9 @@
 		return
 	}
 	weight := 1 - math.Exp(-elapsed.Seconds()/rateWindow.Seconds())
+	if r.unmeasured {
+		weight, r.unmeasured = 1, false
+	}
 	r.demand += (r.newAsked/elapsed.Seconds() - r.demand) * weight
 	r.admitRate += (max(r.newAdmitted, 0)/elapsed.Seconds() - r.admitRate) * weight
 	r.newAsked, r.newAdmitted, r.measuredAt = 0, 0, now
@@ -112,6 +170,7 @@
 	a.level = min(a.level+elapsed*a.limit.rate*a.rateShare, a.limit.burst)
 	a.demand = 0
 	var joined, withheld float64 // Demand of nodes that reported to another coordinator until now, and what they refused.
+	heard := 0
 	for id, r := range a.reporters {
 		silent := now.Sub(r.at)
 		if silent > forgetTime {
@@ -125,6 +184,7 @@
 			continue
 		}
 		a.demand += r.demand
+		heard++
 		if now.Sub(r.joined) < takeoverTime {
 			joined += r.demand + minWeight
 			withheld += (r.demand + minWeight) * r.withheld
@@ -141,10 +201,11 @@
 		a.share = min(max((a.limit.rate*a.rateShare+available/lookAhead.Seconds())/a.demand, 0), 1)
 	}
 	if joined > takeoverPart*a.demand && withheld > takeoverPart*joined {
-		// The nodes that do not report here yet use the rest of the rate, and the burst has been used.
-		a.level = min(a.level, -tolerance)
+		// The nodes that do not report here yet use the rest of the rate.
 		rest := max(0, a.demand-joined)
-		a.share = min(a.share, (joined-withheld+rest*a.baseShare)/(joined+rest))
+		kept := (joined - withheld + rest*a.baseShare) / (joined + rest)
+		equal := a.limit.rate * a.rateShare * float64(heard) / float64(a.known) / a.demand
+		a.share = min(a.share, max(kept, equal))
 		return
 	}
 	a.baseShare = a.share
@@ -159,11 +220,11 @@
 		part = r.demand / a.demand
 	}
 	requests := part * total
-	if a.share >= 1 {
+	if a.share >= 1 && a.rateShare >= 1 {
 		requests += openRequests + 2*math.Sqrt(requests)
 	} else {
 		// A node with little demand may use its fraction of a request; the share decides how often.
 		requests = max(requests, 1)
 	}
-	return NewGrant(a.name, a.share, requests)
+	return NewGrant(a.name, a.share, requests).WithLevel(a.reportedLevel())
 }
--- a/baobabquota/limit.go
+++ b/baobabquota/limit.go
@@ -19,9 +19,12 @@
 // withoutGrant returns what one node may admit before the coordinator has answered: an equal share of the rate until then,
 // and the usual deviation of random arrivals.
 func (l Limit) withoutGrant(t Topology) float64 {
-	equal := l.rate * lookAhead.Seconds() / float64(t.known)
+	equal := l.equalShare(t)
 	return max(openRequests, equal+2*math.Sqrt(equal)+1)
 }
 
+// equalShare returns the part of the rate that one of all nodes uses until the coordinator has answered.
+func (l Limit) equalShare(t Topology) float64 { return l.rate * lookAhead.Seconds() / float64(t.known) }
+
 // Burst returns the number of requests beyond the rate.
 func (l Limit) Burst() float64 { return l.burst }
--- a/baobabquota/meteraccount.go
+++ b/baobabquota/meteraccount.go
@@ -28,6 +28,10 @@
 	fallback  bool      // The coordinator is silent and the budget is the node's own share.
 	grantedBy uint64    // Session in which the last grant arrived; a new coordinator does not know yet who is over the limit.
 	granted   time.Time // When the last grant arrived.
+
+	level   float64   // Of the account at its coordinator, by the last reply that told it.
+	levelAt time.Time // When that reply arrived; zero: none has.
+	levelBy uint64    // Session in which it arrived.
 }
 
 // newMeterAccount returns the state of an account that this node knows nothing about. The credit starts at a different
@@ -45,7 +49,7 @@
 	a.budget = a.limit.withoutGrant(t)
 	if !a.session.everAnswered {
 		// After a restart of all nodes, what each admits on its own adds up.
-		a.budget = max(1, a.budget-openRequests+1)
+		a.budget = max(1, a.limit.equalShare(t))
 	}
 }
 
@@ -136,6 +140,9 @@
 func (a *meterAccount) grant(now time.Time, g Grant) {
 	a.throttle(now, g)
 	a.withheld = 0
+	if level, ok := g.Level(); ok {
+		a.level, a.levelAt, a.levelBy = level, now, a.session.number
+	}
 	a.budget = g.requests - float64(int64(a.admitted-a.ackedAdmitted))
 	a.refillAt = now
 }
@@ -160,14 +167,19 @@
 	return true
 }
 
-// rebase starts the totals of a new session, with the requests since the last report. After a silence they are left out,
-// because the next coordinator starts with an empty burst in their place.
-func (a *meterAccount) rebase(now time.Time) {
+// usage returns the totals to report.
+func (a *meterAccount) usage(now time.Time) Usage {
+	options := []UsageOption{WithKnown(a.ackedAsked, a.ackedAdmitted)}
+	if a.levelBy != a.session.number && !a.levelAt.IsZero() && now.Sub(a.levelAt) < forgetTime {
+		options = append(options, WithLevel(a.level, now.Sub(a.levelAt)))
+	}
+	return NewUsage(a.name, a.asked, a.admitted, a.withheld, options...)
+}
+
+// rebase starts the totals of a new session, with the requests that no coordinator knows of.
+func (a *meterAccount) rebase() {
 	a.asked -= min(a.asked, a.ackedAsked)
 	a.admitted -= min(a.admitted, a.ackedAdmitted)
-	if a.session.silence(now) > presumeAfter {
-		a.asked, a.admitted = 0, 0
-	}
 	a.ackedAsked, a.ackedAdmitted, a.withheld = 0, 0, 1-a.share
 }
 
--- a/baobabquota/session.go
+++ b/baobabquota/session.go
@@ -19,13 +19,20 @@
 	return &session{coordinator: coordinator, number: number, active: map[string]*meterAccount{}, throttled: map[string]*meterAccount{}}
 }
 
-// due reports whether to send a report now.
-func (s *session) due(now time.Time) bool {
+// newFailoverSession returns the session that goes on with another candidate in place of a silent one.
+func newFailoverSession(s *session, candidate string, number uint64) *session {
+	next := newSession(candidate, number)
+	next.everAnswered, next.unansweredSince = s.everAnswered, s.unansweredSince
+	return next
+}
+
+// due reports whether to send a report now. What a node reports to itself is lost with it, unless other nodes have got grants since.
+func (s *session) due(now time.Time, self string) bool {
 	age := now.Sub(s.lastSent)
 	if len(s.active) == 0 || (s.waiting && age < replyTimeout) {
 		return false
 	}
-	return age >= reportInterval || (s.urgent && age >= urgentInterval)
+	return age >= reportInterval || ((s.urgent || s.coordinator == self) && age >= urgentInterval)
 }
 
 func (s *session) sent(now time.Time) {
--- a/baobabquota/simulation_test.go
+++ b/baobabquota/simulation_test.go
@@ -16,6 +16,8 @@
 	simTick     = 5 * time.Millisecond
 	simLookEach = 50 * time.Millisecond // How often a node looks for reports to send.
 	simJoin     = 300 * time.Millisecond
+	simReturn   = 800 * time.Millisecond // Until all nodes know of one that has joined.
+	simRefused  = 10 * time.Millisecond  // Until a refused connection is known.
 	simWindow   = 5 * time.Second
 )
 
@@ -42,6 +44,9 @@
 	lowered  time.Duration // When all limits change to lowerTo times their value; zero means never.
 	lowerTo  float64
 	duration time.Duration
+	// processes means that the faults are of processes alone: a connection to one that was killed is refused at once, and its
+	// return is known as soon as it has joined.
+	processes bool
 }
 
 // A limiter is one of the rules that are compared. The simulation calls it in order of time.
@@ -137,6 +142,9 @@
 	if f := s.faults[fault]; f.kind == "kill" && s.affected[fault][node] && s.at >= f.until {
 		return s.at - simJoin
 	}
+	if s.processes && s.at-simReturn >= s.faults[fault].until {
+		return s.at - simReturn
+	}
 	return max(0, s.at-s.detects[node])
 }
 
@@ -160,19 +168,27 @@
 			live = append(live, i)
 		}
 	}
-	names := make([]string, ShardCount(s.nodes))
-	for shard := range names {
-		names[shard] = fmt.Sprint(coordinatorOf(live, shard))
+	lists := make([][]string, ShardCount(s.nodes))
+	for shard := range lists {
+		for _, i := range candidatesOf(live, shard) {
+			lists[shard] = append(lists[shard], fmt.Sprint(i))
+		}
 	}
-	return live, NewTopology(names, len(live), s.nodes)
+	return live, NewTopology(lists, len(live), s.nodes)
 }
 
-func coordinatorOf(live []int, shard int) int {
-	return slices.MaxFunc(live, func(a, b int) int {
-		return cmp.Compare(xxhash.Sum64String(fmt.Sprint(shard, "/", a)), xxhash.Sum64String(fmt.Sprint(shard, "/", b)))
+// simCandidates is the number of candidates for each shard.
+const simCandidates = 4
+
+func candidatesOf(live []int, shard int) []int {
+	list := slices.SortedFunc(slices.Values(live), func(a, b int) int {
+		return cmp.Compare(xxhash.Sum64String(fmt.Sprint(shard, "/", b)), xxhash.Sum64String(fmt.Sprint(shard, "/", a)))
 	})
+	return list[:min(simCandidates, len(list))]
 }
 
+func coordinatorOf(live []int, shard int) int { return candidatesOf(live, shard)[0] }
+
 // send runs f at a node after the delay of a message. It reports false if the message cannot arrive.
 func (s *simulation) send(from, to int, f func()) bool {
 	if from == to {
@@ -317,6 +333,21 @@
 	}
 	name := fmt.Sprint(node)
 	e.meters[node], e.ledgers[node], e.views[node] = NewMeter(name, uint64(s.at)+1), NewLedger(name), -1
+	if s.processes {
+		e.follow(s, node) // A process takes requests once it has joined.
+	}
+}
+
+// follow applies the view of the members if it has changed.
+func (e *exchange) follow(s *simulation, node int) {
+	epoch := s.epoch(node)
+	if epoch == e.views[node] {
+		return
+	}
+	_, t := s.view(node)
+	e.views[node] = epoch
+	e.meters[node].SetTopology(s.now(), t)
+	e.ledgers[node].SetTopology(s.now(), t)
 }
 
 func (e *exchange) admit(s *simulation, node int, account string, l Limit) bool {
@@ -325,12 +356,7 @@
 }
 
 func (e *exchange) look(s *simulation, node int) {
-	if epoch := s.epoch(node); epoch != e.views[node] {
-		_, t := s.view(node)
-		e.views[node] = epoch
-		e.meters[node].SetTopology(s.now(), t)
-		e.ledgers[node].SetTopology(s.now(), t)
-	}
+	e.follow(s, node)
 	if grants := e.ledgers[node].Announcements(s.now()); len(grants) > 0 {
 		for i, m := range e.meters {
 			s.send(node, i, func() { s.after(i, 5*time.Millisecond, func() { m.ApplyAnnouncement(s.now(), grants) }) })
@@ -346,17 +372,44 @@
 	_, _ = fmt.Sscan(r.coordinator, &to)
 	meter, answered := e.meters[node], false
 	s.send(node, to, func() {
-		grants, _ := e.ledgers[to].Record(s.now(), r, s.limitOf)
+		earlier := e.earlier(r, to)
+		reached := slices.IndexFunc(earlier, func(c int) bool { return s.connected(to, c) && s.down(c, s.at) != "pause" })
+		var grants []Grant
+		if reached < 0 {
+			grants, _ = e.ledgers[to].Record(s.now(), r, s.limitOf)
+		}
 		s.send(to, node, func() {
-			if s.now().Sub(r.sentAt) < replyTimeout {
-				answered = true
-				meter.Apply(s.now(), r, grants)
+			if s.now().Sub(r.sentAt) >= replyTimeout {
+				return
 			}
+			answered = true
+			if reached >= 0 {
+				meter.Refuse(s.now(), r, fmt.Sprint(earlier[reached]))
+				return
+			}
+			meter.Apply(s.now(), r, grants)
 		})
 	})
-	s.after(node, replyTimeout, func() {
+	failed := replyTimeout
+	if s.processes && s.down(to, s.at) == "kill" {
+		failed = simRefused
+	}
+	s.after(node, failed, func() {
 		if !answered {
 			meter.Fail(s.now(), r)
 		}
 	})
 }
+
+// earlier returns the candidates before a node, by its own view.
+func (e *exchange) earlier(r Report, node int) []int {
+	var list []int
+	for _, u := range r.usages[:min(1, len(r.usages))] {
+		for _, c := range e.ledgers[node].topology.Earlier(u.account, fmt.Sprint(node)) {
+			i := 0
+			_, _ = fmt.Sscan(c, &i)
+			list = append(list, i)
+		}
+	}
+	return list
+}
--- a/baobabquota/timing.go
+++ b/baobabquota/timing.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// PauseLimit is how long a process may not run before its grants, and those that it has got, no longer hold.
+const PauseLimit = time.Second
+
 const (
 	// reportInterval is the time between two reports while accounts are used. A node with use in each interval
 	// then sends 2.5 reports per second and shard, and the coordinator knows of a demand that rises eightfold in time.
--- a/baobabquota/topology.go
+++ b/baobabquota/topology.go
@@ -1,6 +1,10 @@
 package baobabquota
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // nodesPerShard is the number of nodes for each shard of accounts. While every node has use in every shard, a further
 // shard adds reports and relieves no coordinator of any, so small meshes have one.
@@ -11,21 +15,33 @@
 
 // A Topology is a node's view of who coordinates which accounts.
 type Topology struct {
-	coordinators []string // Ids by shard; never empty.
-	live         int      // Live members, at least 1.
-	known        int      // Members, including dead ones that did not leave; at least live.
+	candidates [][]string // Ids by shard, the coordinator first; never empty, nor is any list.
+	live       int        // Live members, at least 1.
+	known      int        // Members, including dead ones that did not leave; at least live.
 }
 
-// NewTopology returns a view with the coordinator of each shard, the number of live members, and the number of all
-// members that did not leave.
-func NewTopology(coordinators []string, live, known int) Topology {
+// NewTopology returns a view with the candidates for each shard, the number of live members, and the number of all members
+// that did not leave. The first candidate of a shard coordinates it, each other one while those before it are out of reach.
+func NewTopology(candidates [][]string, live, known int) Topology {
 	live = max(live, 1)
-	return Topology{coordinators: coordinators, live: live, known: max(known, live)}
+	return Topology{candidates: candidates, live: live, known: max(known, live)}
+}
+
+// coordinator returns the first candidate of a shard.
+func (t Topology) coordinator(shard int) string { return t.candidates[shard][0] }
+
+// Earlier returns the candidates before the given one for the shard of an account, or nil if it is not a candidate.
+func (t Topology) Earlier(account, candidate string) []string {
+	list := t.candidates[t.shardOf(account)]
+	if i := slices.Index(list, candidate); i > 0 {
+		return list[:i]
+	}
+	return nil
 }
 
 // shardOf returns the shard of an account.
 func (t Topology) shardOf(account string) int {
-	return int(xxhash.Sum64String(account) % uint64(max(len(t.coordinators), 1)))
+	return int(xxhash.Sum64String(account) % uint64(max(len(t.candidates), 1)))
 }
 
 // RateShare returns the part of a rate that this side of the mesh may grant. The majority may grant all of it. A minority
