--- a/baobabquota/session.go
+++ b/baobabquota/session.go
@@ -26,7 +26,8 @@
 	return next
 }
 
-// due reports whether to send a report now. What a node reports to itself is lost with it, unless other nodes have got grants since.
+// due reports whether to send a report now. A node reports to itself more often, because its own use is lost with it, except for
+// what the levels in grants to other nodes tell.
 func (s *session) due(now time.Time, self string) bool {
 	age := now.Sub(s.lastSent)
 	if len(s.active) == 0 || (s.waiting && age < replyTimeout) {
